--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,103 @@
+//! Settings of the daemons, in YAML, checked in full before anything starts.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use crate::common;
+use crate::error::Code;
+use crate::error::Error;
+use crate::error::Result;
+use crate::log::Format;
+
+common! { doc
+/// Identity and addresses that both daemons have.
+pub struct Node {
+    /// Name of the process, unique in the fleet.
+    pub name: String,
+    /// Availability zone of its VM.
+    pub zone: String,
+    /// Region of its zone.
+    #[serde(default)]
+    pub region: String,
+    /// Address on which other processes of the system call.
+    pub rpc: SocketAddr,
+    /// Address for operators: dump, health, metrics.
+    pub admin: SocketAddr,
+    /// Configuration service, tried in order.
+    pub platform: Vec<SocketAddr>,
+    /// Processes asked first for tables, beside those on the live list.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Format of log records.
+    #[serde(default)]
+    pub log: Format,
+    /// Secret that signs tickets; the same in all processes.
+    #[serde(default)]
+    pub secret: String,
+}
+}
+
+common! { doc
+/// Settings of `chervilquay-entry`.
+pub struct EntrySettings {
+    /// Identity and addresses.
+    pub node: Node,
+    /// Address on which callers connect.
+    pub http: SocketAddr,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_body")]
+    pub max_body: usize,
+    /// Time in which a caller must send head and body, in milliseconds.
+    #[serde(default = "default_head")]
+    pub head_ms: u64,
+}
+}
+
+common! { doc
+/// Settings of `chervilquay-agent`.
+pub struct AgentSettings {
+    /// Identity and addresses.
+    pub node: Node,
+    /// Engine or service behind this agent.
+    pub upstream: SocketAddr,
+    /// Origin of weights.
+    pub origin: SocketAddr,
+    /// Memory for staged chunks, in MiB.
+    #[serde(default = "default_staging")]
+    pub staging_mb: usize,
+    /// Requests in progress at the upstream.
+    #[serde(default = "default_running")]
+    pub max_running: usize,
+    /// Requests waiting for it.
+    #[serde(default = "default_queued")]
+    pub max_queued: usize,
+}
+}
+
+fn default_body() -> usize {
+    4 << 20
+}
+
+fn default_head() -> u64 {
+    10_000
+}
+
+fn default_staging() -> usize {
+    1_024
+}
+
+fn default_running() -> usize {
+    16
+}
+
+fn default_queued() -> usize {
+    256
+}
+
+/// Reads and checks the settings of a daemon.
+pub fn load<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Error::new(Code::SettingsRead, format!("{}: {e}", path.display())))?;
+    serde_saphyr::from_str(&text)
+        .map_err(|e| Error::new(Code::SettingsSyntax, format!("{}: {e}", path.display())))
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' client.
+
+fn main() {}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,7 @@
+//! Network plumbing: hyper and tonic on smol.
+
+pub mod body;
+pub mod client;
+pub mod rpc;
+pub mod rt;
+pub mod server;
--- /dev/null
+++ b/src/table/mod.rs
@@ -0,0 +1,10 @@
+//! Routes and pools: the two tables that operators write, and their join.
+
+pub mod doc;
+pub mod join;
+pub mod matcher;
+
+pub use doc::PoolsDoc;
+pub use doc::RoutesDoc;
+pub use join::Set;
+pub use join::Stamp;
