entry, agent: Serve the whole path thin, as separate processes

Cause: no request could be served yet. Change: entry and agent daemons, tables read and watched from the platform, weights pulled in hashed chunks from the origin, verified and loaded before the pool is served; stand-ins for platform, origin, engine and service; a fleet in one process for benchmarks; tests over real processes.

--- /dev/null
+++ b/src/bench/fleet.rs
@@ -0,0 +1,390 @@
+//! A small fleet in one process: platform, origin, engines, entries, agents.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Request;
+use serde_json::Value;
+use serde_json::json;
+use smol::channel;
+use smol::channel::Sender;
+
+use crate::agent::Agent;
+use crate::config;
+use crate::config::AgentSettings;
+use crate::config::EntrySettings;
+use crate::entry::Entry;
+use crate::log;
+use crate::net::body;
+use crate::net::client::Client;
+use crate::net::rt;
+use crate::prelude::*;
+use crate::standin::Running;
+use crate::standin::engine;
+use crate::standin::engine::Behaviour;
+use crate::standin::engine::Engine;
+use crate::standin::origin::Origin;
+use crate::standin::platform::Platform;
+
+/// Largest answer, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Size and shape of a fleet.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Availability zones; VMs are spread over them in turn.
+    pub zones: usize,
+    /// Entry VMs.
+    pub entries: usize,
+    /// Upstreams of the engine pool `assistant`.
+    pub engines: usize,
+    /// Upstreams of the service pool `booking`.
+    pub services: usize,
+    /// Length of a version of the weights, in bytes.
+    pub weights_len: usize,
+    /// Length of a chunk, in bytes.
+    pub chunk_len: usize,
+    /// How engines and services behave.
+    pub behaviour: Behaviour,
+    /// Seed of the weights.
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            zones: 3,
+            entries: 2,
+            engines: 3,
+            services: 2,
+            weights_len: 4 << 20,
+            chunk_len: 256 << 10,
+            behaviour: Behaviour::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// An agent of the fleet with the engine behind it.
+#[derive(Debug)]
+pub struct AgentVm {
+    /// Name in the pools table.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// RPC address.
+    pub rpc: SocketAddr,
+    /// Admin address.
+    pub admin: SocketAddr,
+    /// The engine or service.
+    pub engine: Engine,
+    /// The agent.
+    pub agent: Agent,
+    /// Closing it drains the agent.
+    pub stop: Option<Sender<()>>,
+    /// The agent's task.
+    pub task: Option<smol::Task<Result<()>>>,
+    _engine: Running,
+}
+
+/// An entry of the fleet.
+#[derive(Debug)]
+pub struct EntryVm {
+    /// Address for callers.
+    pub http: SocketAddr,
+    /// Admin address.
+    pub admin: SocketAddr,
+    /// The entry.
+    pub entry: Entry,
+    /// Closing it drains the entry.
+    pub stop: Option<Sender<()>>,
+    /// The entry's task.
+    pub task: Option<smol::Task<Result<()>>>,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Configuration service.
+    pub platform: Platform,
+    /// Origin of weights.
+    pub origin: Origin,
+    /// Agents of the pool `assistant`, then those of `booking`.
+    pub agents: Vec<AgentVm>,
+    /// Entries.
+    pub entries: Vec<EntryVm>,
+    /// Revision published last.
+    pub revision: u64,
+    /// Manifest digest published last.
+    pub digest: String,
+    plan: Plan,
+    clients: std::sync::Mutex<IndexMap<SocketAddr, Arc<Client>>>,
+    _standins: Vec<Running>,
+}
+
+/// Any free port on loopback.
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A free address on loopback for a server that is started right after.
+pub fn free_addr() -> Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind(any())
+        .map_err(|e| Error::new(Code::ListenFailed, e.to_string()))?;
+    listener
+        .local_addr()
+        .map_err(|e| Error::new(Code::ListenFailed, e.to_string()))
+}
+
+impl Fleet {
+    /// Starts every part and publishes the first version.
+    pub async fn start(plan: Plan) -> Result<Fleet> {
+        let platform = Platform::default();
+        let origin = Origin::default();
+        let platform_run = platform.start(any())?;
+        let origin_run = origin.start(any())?;
+        let mut agents = Vec::new();
+        for index in 0..plan.engines + plan.services {
+            agents.push(start_agent(
+                &plan,
+                index,
+                platform_run.addr,
+                origin_run.addr,
+            )?);
+        }
+        let mut entries = Vec::new();
+        for index in 0..plan.entries {
+            entries.push(start_entry(&plan, index, platform_run.addr)?);
+        }
+        let mut fleet = Fleet {
+            platform,
+            origin,
+            agents,
+            entries,
+            revision: 0,
+            digest: String::new(),
+            plan,
+            clients: std::sync::Mutex::default(),
+            _standins: vec![platform_run, origin_run],
+        };
+        let seed = fleet.plan.seed;
+        fleet.new_version(seed);
+        fleet.publish(&[]);
+        Ok(fleet)
+    }
+
+    /// Stores a new version at the origin; [`Fleet::publish`] puts it in force.
+    pub fn new_version(&mut self, seed: u64) {
+        let mut weights = vec![0; self.plan.weights_len];
+        fastrand::Rng::with_seed(seed).fill(&mut weights);
+        self.digest = self.origin.publish(&weights, self.plan.chunk_len);
+    }
+
+    /// Publishes the tables under the next revision, with `drained` upstreams emptied.
+    pub fn publish(&mut self, drained: &[&str]) {
+        self.revision += 1;
+        let revision = self.revision;
+        let routes = json!({
+            "revision": revision,
+            "routes": {
+                "assistant": { "path": "/v1/completions", "pool": "assistant",
+                    "repeat": "safe", "deadline_ms": 60_000 },
+                "booking": { "path": "/book", "pool": "booking",
+                    "class": "short", "repeat": "never", "deadline_ms": 10_000 },
+                "stock": { "path": "/stock", "pool": "booking",
+                    "class": "short", "repeat": "safe", "deadline_ms": 10_000 },
+            },
+        });
+        let (engines, services) = self.agents.split_at(self.plan.engines);
+        let pools = json!({
+            "revision": revision,
+            "pools": {
+                "assistant": { "model": "assistant", "digest": self.digest,
+                    "upstreams": upstreams(engines, drained) },
+                "booking": { "kind": "service", "upstreams": upstreams(services, drained) },
+            },
+        });
+        // JSON is YAML, and its printer quotes every name.
+        self.platform.put("routes", routes.to_string());
+        self.platform.put("pools", pools.to_string());
+    }
+
+    /// Waits until every entry and agent holds the last revision and serves it.
+    pub async fn until_serving(&self, limit: Duration) -> Result<()> {
+        let begin = Instant::now();
+        while !self.is_serving() {
+            if begin.elapsed() > limit {
+                return Err(Error::new(Code::BenchFailed, "fleet does not serve"));
+            }
+            smol::Timer::after(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    fn is_serving(&self) -> bool {
+        let agents = self.agents.iter().filter(|vm| vm.stop.is_some());
+        let entries = self.entries.iter().filter(|vm| vm.stop.is_some());
+        agents.clone().all(|vm| {
+            vm.agent.node.view.stamp().revision == self.revision
+                && vm.agent.duty().map(|d| d.digest) == vm.agent.loaded.digest()
+        }) && entries
+            .clone()
+            .all(|vm| vm.entry.node.view.stamp().revision == self.revision)
+    }
+
+    /// Sends a streamed completion and checks its answer against the request.
+    pub async fn complete(&self, entry: SocketAddr, prompt: &str, tokens: u64) -> Result<()> {
+        let body = json!({ "prompt": prompt, "max_tokens": tokens, "stream": true });
+        let (status, bytes) = self
+            .send(entry, "/v1/completions", None, body.to_string())
+            .await?;
+        if status != 200 {
+            let detail = format!("status {status}: {}", String::from_utf8_lossy(&bytes));
+            return Err(Error::new(Code::BenchFailed, detail));
+        }
+        let want: String = (0..tokens).map(|i| engine::token(prompt, i)).collect();
+        let got = stream_text(&bytes)?;
+        if got != want {
+            let detail = format!("answer to {prompt:?} is {got:?}");
+            return Err(Error::new(Code::PromiseBroken, detail));
+        }
+        Ok(())
+    }
+
+    /// Sends a POST request and reads its answer whole.
+    pub async fn send(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        key: Option<&str>,
+        body_text: String,
+    ) -> Result<(u16, Bytes)> {
+        let client = self.client(entry);
+        let mut builder = Request::post(path)
+            .header("host", entry.to_string())
+            .header("content-type", "application/json")
+            .header("x-organisation", "club-1");
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder
+            .body(body::full(body_text))
+            .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
+        let (response, kept) = Client::split(client.send(request).await?);
+        let status = response.status().as_u16();
+        let bytes = body::read(response.into_body(), MAX_ANSWER)
+            .await
+            .map_err(|e| e.with_run(Run::Unknown))?;
+        client.give_back(kept);
+        Ok((status, bytes))
+    }
+
+    fn client(&self, addr: SocketAddr) -> Arc<Client> {
+        let mut clients = self.clients.lock().unwrap_or_else(|e| e.into_inner());
+        let client = clients
+            .entry(addr)
+            .or_insert_with(|| Arc::new(Client::new(addr)));
+        client.clone()
+    }
+}
+
+/// Text of a streamed completion; an error when its end mark is missing.
+pub fn stream_text(bytes: &[u8]) -> Result<String> {
+    let text = String::from_utf8_lossy(bytes);
+    let mut out = String::new();
+    let mut is_done = false;
+    for line in text.lines().filter_map(|l| l.strip_prefix("data: ")) {
+        if line == "[DONE]" {
+            is_done = true;
+            continue;
+        }
+        let event: Value = serde_json::from_str(line)
+            .map_err(|e| Error::new(Code::PromiseBroken, e.to_string()))?;
+        out.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    if !is_done {
+        return Err(Error::new(Code::PromiseBroken, "stream has no end mark"));
+    }
+    Ok(out)
+}
+
+fn upstreams(agents: &[AgentVm], drained: &[&str]) -> Value {
+    let mut map = serde_json::Map::new();
+    for vm in agents {
+        let drain = drained.contains(&vm.name.as_str());
+        let entry = json!({ "rpc": vm.rpc, "zone": vm.zone, "region": "r1", "drain": drain });
+        map.insert(vm.name.clone(), entry);
+    }
+    Value::Object(map)
+}
+
+fn node(name: &str, zone: &str, platform: SocketAddr) -> Result<config::Node> {
+    Ok(config::Node {
+        name: name.to_string(),
+        zone: zone.to_string(),
+        region: "r1".to_string(),
+        rpc: free_addr()?,
+        admin: free_addr()?,
+        platform: vec![platform],
+        peers: Vec::new(),
+        log: log::Format::Text,
+        secret: String::new(),
+    })
+}
+
+fn start_agent(
+    plan: &Plan,
+    index: usize,
+    platform: SocketAddr,
+    origin: SocketAddr,
+) -> Result<AgentVm> {
+    let engine = Engine::new(plan.behaviour);
+    let running = engine.start(any())?;
+    let name = format!("vm-{}", index + 1);
+    let zone = format!("z{}", index % plan.zones + 1);
+    let settings = AgentSettings {
+        node: node(&name, &zone, platform)?,
+        upstream: running.addr,
+        origin,
+        staging_mb: 256,
+        max_running: 16,
+        max_queued: 256,
+    };
+    let (rpc, admin) = (settings.node.rpc, settings.node.admin);
+    let agent = Agent::new(settings, log::discard());
+    let (stop, stopped) = channel::bounded(1);
+    let task = rt::spawn(agent.clone().run(stopped));
+    Ok(AgentVm {
+        name,
+        zone,
+        rpc,
+        admin,
+        engine,
+        agent,
+        stop: Some(stop),
+        task: Some(task),
+        _engine: running,
+    })
+}
+
+fn start_entry(plan: &Plan, index: usize, platform: SocketAddr) -> Result<EntryVm> {
+    let zone = format!("z{}", index % plan.zones + 1);
+    let settings = EntrySettings {
+        node: node(&format!("entry-{}", index + 1), &zone, platform)?,
+        http: free_addr()?,
+        max_body: 4 << 20,
+        head_ms: 10_000,
+    };
+    let (http, admin) = (settings.http, settings.node.admin);
+    let entry = Entry::new(settings, log::discard());
+    let (stop, stopped) = channel::bounded(1);
+    let task = rt::spawn(entry.clone().run(stopped));
+    Ok(EntryVm {
+        http,
+        admin,
+        entry,
+        stop: Some(stop),
+        task: Some(task),
+    })
+}
--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments on the real code over loopback.
+
+pub mod fleet;
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,43 @@
+//! Error answers to callers: HTTP status and a problem body.
+
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use serde_json::json;
+
+use crate::net::body;
+use crate::net::body::BoxBody;
+use crate::prelude::*;
+
+/// When a caller may come back if nothing better is known.
+const DEFAULT_RETRY: Millis = Millis(1_000);
+
+/// The answer for a request that ended in an error before its head was sent.
+pub fn problem(error: &Error) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(error.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let value = json!({
+        "type": "about:blank",
+        "title": error.code.text(),
+        "status": status.as_u16(),
+        "detail": error.detail,
+        "code": error.code.number(),
+        "run": error.run.as_str(),
+    });
+    let mut response = Response::new(body::full(value.to_string()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    let kind = HeaderValue::from_static("application/problem+json");
+    headers.insert(header::CONTENT_TYPE, kind);
+    if let Some(seconds) = retry_after(error) {
+        headers.insert(header::RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+/// Whole seconds after which to come back; none where asking again cannot help.
+fn retry_after(error: &Error) -> Option<u64> {
+    let is_passing = matches!(error.code.status(), 429 | 502 | 503 | 504);
+    let after = error.retry.or(is_passing.then_some(DEFAULT_RETRY))?;
+    Some(after.0.div_ceil(1_000).max(1))
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,112 @@
+//! The entry: takes callers' requests and brings each to a fit upstream.
+
+pub mod answer;
+pub mod attempt;
+pub mod http;
+pub mod pick;
+
+use ::http::Request;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use smol::channel;
+use smol::channel::Receiver;
+use std::time::Duration;
+
+use crate::config::EntrySettings;
+use crate::entry::pick::Flights;
+use crate::net::rt;
+use crate::net::server;
+use crate::net::server::Limits;
+use crate::node::Node;
+use crate::node::admin;
+use crate::node::platform;
+use crate::prelude::*;
+use crate::proto::peer_server::PeerServer;
+
+/// A running entry; clones share it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Identity, tables and connections.
+    pub node: Node,
+    /// Settings.
+    pub settings: Arc<EntrySettings>,
+    /// Requests in flight to each upstream.
+    pub flights: Flights,
+}
+
+impl Entry {
+    /// An entry with these settings; nothing is started yet.
+    pub fn new(settings: EntrySettings, log: slog::Logger) -> Entry {
+        Entry {
+            node: Node::new(settings.node.clone(), log),
+            flights: Flights::default(),
+            settings: Arc::new(settings),
+        }
+    }
+
+    /// Runs the entry until `stop` closes and open requests have ended.
+    pub async fn run(self, stop: Receiver<()>) -> Result<()> {
+        let callers = server::bind(self.settings.http)?;
+        let rpc = server::bind(self.node.settings.rpc)?;
+        let admin = server::bind(self.node.settings.admin)?;
+        let (closer, closed) = channel::bounded::<()>(1);
+        let watch = rt::spawn(platform::watch(self.node.clone()));
+        let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed.clone()));
+        let admin_task = rt::spawn(self.clone().serve_admin(admin, closed));
+        slog::info!(self.node.log, "entry: started"; "http" => %self.settings.http);
+        self.clone().serve_callers(callers, stop).await;
+        slog::info!(self.node.log, "entry: stopped");
+        drop((closer, watch, rpc_task, admin_task));
+        Ok(())
+    }
+
+    /// Returns when `stop` has closed and the last answer has been sent.
+    async fn serve_callers(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
+        let limits = Limits {
+            head: Duration::from_millis(self.settings.head_ms),
+            ..Limits::default()
+        };
+        server::serve(listener, limits, stop, move |request| {
+            let entry = self.clone();
+            async move { http::handle(entry, request).await }
+        })
+        .await;
+    }
+
+    async fn serve_rpc(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
+        let peer = PeerServer::new(crate::node::peer::PeerService::new(self.node.clone()));
+        server::serve(listener, Limits::default(), stop, move |request| {
+            let peer = peer.clone();
+            async move { crate::net::rpc::answer(peer, request).await }
+        })
+        .await;
+    }
+
+    async fn serve_admin(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
+        server::serve(
+            listener,
+            Limits::default(),
+            stop,
+            move |request: Request<Incoming>| {
+                let entry = self.clone();
+                async move { admin::answer(&request, || entry.dump()) }
+            },
+        )
+        .await;
+    }
+
+    /// The whole state, for operators.
+    pub fn dump(&self) -> Value {
+        let stamp = self.node.view.stamp();
+        let refused = self.node.view.refused().map(|e| e.to_string());
+        let settings = &self.node.settings;
+        json!({
+            "role": "entry",
+            "name": settings.name,
+            "zone": settings.zone,
+            "tables": { "revision": stamp.revision, "digest": stamp.digest, "refused": refused },
+            "flights": self.flights.dump(),
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,16 @@
 //! Weight distribution for model upstreams that must be filled in bursts under live load.
 
+pub mod agent;
 pub mod arena;
+pub mod bench;
+pub mod cmd;
 pub mod config;
+pub mod entry;
 pub mod error;
 pub mod log;
 pub mod macros;
 pub mod net;
+pub mod node;
 pub mod prelude;
 #[expect(
     missing_docs,
@@ -14,6 +19,7 @@
     reason = "generated code"
 )]
 pub mod proto;
+pub mod standin;
 pub mod table;
 pub mod time;
 pub mod util;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,9 @@
 //! The operators' client.
 
-fn main() {}
+use std::process::ExitCode;
+
+use chervilquay::cmd;
+
+fn main() -> eyre::Result<ExitCode> {
+    cmd::run(argh::from_env())
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,36 @@
+//! The whole path as separate processes.
+
+mod support;
+
+use support::System;
+use support::http;
+
+// Guards against any break in the chain caller, entry, agent, engine, and back.
+#[test]
+fn streamed_answer() {
+    let system = System::start("whole-path");
+    system.until_serving();
+    let body = r#"{"prompt":"lanes for ten","max_tokens":5,"stream":true}"#;
+    for entry in &system.entries {
+        let (status, head, body) = http(entry.http, "POST", "/v1/completions", &[], body).unwrap();
+        assert_eq!(status, 200, "{body}");
+        assert!(head.contains("text/event-stream"), "{head}");
+        for index in 0..5 {
+            let token = chervilquay::standin::engine::token("lanes for ten", index);
+            assert!(body.contains(&token), "{body}");
+        }
+        assert!(body.contains("data: [DONE]"), "{body}");
+    }
+}
+
+// Guards against an unknown route that is answered without its code.
+#[test]
+fn unknown_route() {
+    let system = System::start("unknown-route");
+    system.until_serving();
+    let (status, head, body) = http(system.entries[0].http, "GET", "/nowhere", &[], "").unwrap();
+    assert_eq!(status, 404);
+    assert!(head.contains("application/problem+json"), "{head}");
+    assert!(body.contains("\"code\":4001"), "{body}");
+    assert!(body.contains("\"run\":\"not_run\""), "{body}");
+}
