--- /dev/null
+++ b/tests/support/system.rs
@@ -0,0 +1,391 @@
+//! Work directory and processes for tests that run the real binaries.
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    clippy::unwrap_used,
+    reason = "each test file uses a part of the helper, and a failed step ends the test"
+)]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+/// Longest wait for a condition; a hang guard, not a bound on speed.
+pub const HANG_GUARD: Duration = Duration::from_secs(60);
+
+/// A directory of its own that is removed at the end.
+pub struct WorkDir {
+    path: PathBuf,
+}
+
+impl WorkDir {
+    pub fn new(name: &str) -> WorkDir {
+        let unique = format!("chervilquay-{name}-{}", std::process::id());
+        let path = std::env::temp_dir().join(unique);
+        std::fs::create_dir_all(&path).unwrap();
+        WorkDir { path }
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.path.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for WorkDir {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.path);
+    }
+}
+
+/// A process of the test; dropping it kills it.
+pub struct Process {
+    child: Child,
+    /// Lines printed before the process was ready.
+    pub lines: Vec<String>,
+}
+
+impl Process {
+    pub fn start(binary: &str, args: &[&str]) -> Process {
+        let child = Command::new(binary)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Process {
+            child,
+            lines: Vec::new(),
+        }
+    }
+
+    /// Starts a stand-in and waits until it listens.
+    pub fn standin(args: &[&str]) -> Process {
+        let mut all = vec!["standin"];
+        all.extend(args);
+        let mut process = Process::start(env!("CARGO_BIN_EXE_chervilquay"), &all);
+        let stdout = process.child.stdout.take().unwrap();
+        for line in BufReader::new(stdout).lines() {
+            let line = line.unwrap();
+            let is_ready = line.starts_with("listening");
+            process.lines.push(line);
+            if is_ready {
+                break;
+            }
+        }
+        process
+    }
+
+    /// Sends a signal by its number.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end; true when the exit status was 0.
+    pub fn wait(&mut self) -> bool {
+        let begin = std::time::Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            assert!(begin.elapsed() < HANG_GUARD, "process does not end");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A free address on loopback.
+pub fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Sends a request on a connection of its own; gives status line, head and body.
+pub fn http(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<(u16, String, String)> {
+    let mut stream = open(addr, method, path, headers, body)?;
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text)?;
+    Ok(split(&String::from_utf8_lossy(&text)))
+}
+
+/// Sends a request and leaves its answer unread.
+pub fn open(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(addr)?;
+    stream.set_read_timeout(Some(HANG_GUARD))?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    stream.write_all(head.as_bytes())?;
+    Ok(stream)
+}
+
+/// Status, head and body of an answer; chunk sizes stay in the body.
+pub fn split(text: &str) -> (u16, String, String) {
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
+    let status = head
+        .split_whitespace()
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
+    (status, head.to_ascii_lowercase(), body.to_string())
+}
+
+/// Polls until `check` holds.
+pub fn until(what: &str, mut check: impl FnMut() -> bool) {
+    let begin = std::time::Instant::now();
+    while !check() {
+        assert!(begin.elapsed() < HANG_GUARD, "never happened: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A whole system of separate processes: two zones, an entry and an agent pair in each.
+pub struct System {
+    pub dir: WorkDir,
+    pub platform: Process,
+    pub platform_addr: SocketAddr,
+    pub origin: Process,
+    pub origin_addr: SocketAddr,
+    /// Manifest digests of the versions at the origin.
+    pub versions: Vec<String>,
+    pub agents: Vec<AgentVm>,
+    pub entries: Vec<EntryVm>,
+    pub revision: u64,
+}
+
+pub struct AgentVm {
+    pub name: String,
+    pub zone: String,
+    pub pool: String,
+    pub rpc: SocketAddr,
+    pub admin: SocketAddr,
+    pub engine: Process,
+    pub engine_addr: SocketAddr,
+    pub process: Process,
+    pub settings: PathBuf,
+}
+
+pub struct EntryVm {
+    pub http: SocketAddr,
+    pub admin: SocketAddr,
+    pub process: Process,
+}
+
+impl System {
+    /// Starts two entries, two agents of `assistant` and two of `booking`.
+    pub fn start(name: &str) -> System {
+        System::start_with(name, "2000")
+    }
+
+    /// The same with another time for each token, in microseconds.
+    pub fn start_with(name: &str, token_us: &str) -> System {
+        let dir = WorkDir::new(name);
+        let platform_addr = free_addr();
+        let origin_addr = free_addr();
+        let platform = Process::standin(&["platform", "--listen", &platform_addr.to_string()]);
+        let listen = origin_addr.to_string();
+        let origin =
+            Process::standin(&["origin", "--listen", &listen, "--seed", "1", "--seed", "2"]);
+        let versions = origin
+            .lines
+            .iter()
+            .filter_map(|l| l.strip_prefix("version "))
+            .filter_map(|l| l.split_whitespace().nth(1))
+            .map(str::to_string)
+            .collect();
+        let mut system = System {
+            dir,
+            platform,
+            platform_addr,
+            origin,
+            origin_addr,
+            versions,
+            agents: Vec::new(),
+            entries: Vec::new(),
+            revision: 0,
+        };
+        for (index, pool) in ["assistant", "assistant", "booking", "booking"]
+            .iter()
+            .enumerate()
+        {
+            let agent = system.agent(index, pool, token_us);
+            system.agents.push(agent);
+        }
+        for index in 0..2 {
+            let entry = system.entry(index);
+            system.entries.push(entry);
+        }
+        system.publish(0, &[]);
+        system
+    }
+
+    fn node(&self, name: &str, zone: &str, rpc: SocketAddr, admin: SocketAddr) -> String {
+        let platform = self.platform_addr;
+        format!(
+            "node:\n  name: {name}\n  zone: {zone}\n  region: r1\n  rpc: {rpc}\n  \
+             admin: {admin}\n  platform: [\"{platform}\"]\n"
+        )
+    }
+
+    fn agent(&self, index: usize, pool: &str, token_us: &str) -> AgentVm {
+        let name = format!("vm-{}", index + 1);
+        let zone = format!("z{}", index % 2 + 1);
+        let (rpc, admin, engine_addr) = (free_addr(), free_addr(), free_addr());
+        let listen = engine_addr.to_string();
+        let engine = Process::standin(&["engine", "--listen", &listen, "--token-us", token_us]);
+        let text = format!(
+            "{}upstream: {engine_addr}\norigin: {}\nstaging_mb: 64\n",
+            self.node(&name, &zone, rpc, admin),
+            self.origin_addr
+        );
+        let settings = self.dir.write(&format!("{name}.yaml"), &text);
+        let process = start_agent(&settings);
+        AgentVm {
+            name,
+            zone,
+            pool: pool.to_string(),
+            rpc,
+            admin,
+            engine,
+            engine_addr,
+            process,
+            settings,
+        }
+    }
+
+    fn entry(&self, index: usize) -> EntryVm {
+        let zone = format!("z{}", index + 1);
+        let (http, rpc, admin) = (free_addr(), free_addr(), free_addr());
+        let name = format!("entry-{}", index + 1);
+        let text = format!("{}http: {http}\n", self.node(&name, &zone, rpc, admin));
+        let settings = self.dir.write(&format!("{name}.yaml"), &text);
+        let path = settings.to_string_lossy().into_owned();
+        let process = Process::start(
+            env!("CARGO_BIN_EXE_chervilquay-entry"),
+            &["--settings", &path],
+        );
+        EntryVm {
+            http,
+            admin,
+            process,
+        }
+    }
+
+    /// Publishes both tables under the next revision with version number `version`.
+    pub fn publish(&mut self, version: usize, drained: &[&str]) {
+        self.revision += 1;
+        let revision = self.revision;
+        let routes = format!(
+            "revision: {revision}\nroutes:\n  \
+             assistant: {{path: /v1/completions, pool: assistant, repeat: safe}}\n  \
+             booking: {{path: /book, pool: booking, class: short, repeat: never, deadline_ms: 5000}}\n"
+        );
+        let mut pools = format!("revision: {revision}\npools:\n");
+        let digest = &self.versions[version];
+        pools.push_str(&format!(
+            "  assistant:\n    model: assistant\n    digest: {digest}\n    upstreams:\n"
+        ));
+        pools.push_str(&self.upstreams("assistant", drained));
+        pools.push_str("  booking:\n    kind: service\n    upstreams:\n");
+        pools.push_str(&self.upstreams("booking", drained));
+        self.put("routes", &routes);
+        self.put("pools", &pools);
+    }
+
+    fn upstreams(&self, pool: &str, drained: &[&str]) -> String {
+        let vms = self.agents.iter().filter(|vm| vm.pool == pool);
+        vms.map(|vm| {
+            let drain = drained.contains(&vm.name.as_str());
+            format!(
+                "      {}: {{rpc: \"{}\", zone: {}, drain: {drain}}}\n",
+                vm.name, vm.rpc, vm.zone
+            )
+        })
+        .collect()
+    }
+
+    /// Publishes one value.
+    pub fn put(&self, key: &str, text: &str) {
+        let path = format!("/v1/kv/{key}");
+        let (status, _, _) = http(self.platform_addr, "PUT", &path, &[], text).unwrap();
+        assert_eq!(status, 200);
+    }
+
+    /// Waits until every running process holds the last revision and every agent serves.
+    pub fn until_serving(&self) {
+        let revision = self.revision;
+        for entry in &self.entries {
+            until("entry holds the revision", || {
+                dump(entry.admin)["tables"]["revision"] == revision
+            });
+        }
+        for agent in &self.agents {
+            until("agent serves", || {
+                let dump = dump(agent.admin);
+                dump["tables"]["revision"] == revision && dump["loaded"] == dump["duty"]["digest"]
+            });
+        }
+    }
+}
+
+/// Starts the agent daemon on a settings file.
+pub fn start_agent(settings: &Path) -> Process {
+    let path = settings.to_string_lossy().into_owned();
+    Process::start(
+        env!("CARGO_BIN_EXE_chervilquay-agent"),
+        &["--settings", &path],
+    )
+}
+
+/// State dump of a process; null while it does not answer.
+pub fn dump(admin: SocketAddr) -> serde_json::Value {
+    let Ok((_, _, body)) = http(admin, "GET", "/dump", &[], "") else {
+        return serde_json::Value::Null;
+    };
+    serde_json::from_str(&body).unwrap_or_default()
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use support::System;
-use support::http;
+use support::system::System;
+use support::system::http;
 
 // Guards against any break in the chain caller, entry, agent, engine, and back.
 #[test]
