check: Report every fault of settings and tables with its location

Serde stops at the first fault and knows no ranges, so operators learned of one fault a run and processes accepted deadlines of zero or two upstreams with one address.

A document is now also read into a tree with locations and walked along a schema. Set::parse and the settings loader use the same walk, so that they refuse exactly what `check` reports. New rules: names, paths, methods, header names, ranges of all numbers, min_serving below the number of upstreams, unique addresses, unique route patterns, model and digest of engine pools.

The cost is a second parse of each accepted document.

--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! Commands of `chervilquay`, one file each.
+
+pub mod check;
+pub mod output;
--- /dev/null
+++ b/src/cmd/output.rs
@@ -0,0 +1,84 @@
+//! Formats and exit codes that the commands share.
+
+use std::io::Write;
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use crate::common;
+
+/// The command did what it was asked and found nothing wrong.
+pub const EXIT_OK: u8 = 0;
+
+/// The command ran, and what it looked at is wrong.
+pub const EXIT_FOUND: u8 = 1;
+
+/// The command line is wrong.
+pub const EXIT_USAGE: u8 = 2;
+
+/// The command could not do its work.
+pub const EXIT_FAILED: u8 = 3;
+
+common! { key
+/// Format of a command's output.
+#[derive(Default)]
+pub enum Format {
+    /// For a person.
+    #[default]
+    Text,
+    /// Markdown table.
+    Markdown,
+    /// JSON.
+    Json,
+    /// YAML.
+    Yaml,
+}
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(word: &str) -> Result<Format, String> {
+        match word {
+            "text" => Ok(Format::Text),
+            "markdown" => Ok(Format::Markdown),
+            "json" => Ok(Format::Json),
+            "yaml" => Ok(Format::Yaml),
+            _ => Err("expected text, markdown, json or yaml".to_string()),
+        }
+    }
+}
+
+/// Writes to standard output; a reader that has gone, such as `head`, is no error.
+pub fn print(text: &str) -> eyre::Result<()> {
+    let mut out = std::io::stdout().lock();
+    match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
+        Err(e) if e.kind() == std::io::ErrorKind::BrokenPipe => Ok(()),
+        other => Ok(other?),
+    }
+}
+
+/// Renders a value as JSON or YAML, with a final newline.
+pub fn render(value: &impl serde::Serialize, format: Format) -> eyre::Result<String> {
+    let mut text = match format {
+        Format::Yaml => serde_saphyr::to_string(value)?,
+        _ => serde_json::to_string_pretty(value)?,
+    };
+    if !text.ends_with('\n') {
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+/// Exit code for a command that may have found something wrong.
+pub fn exit(is_ok: bool) -> ExitCode {
+    ExitCode::from(if is_ok { EXIT_OK } else { EXIT_FOUND })
+}
+
+/// Refuses a format that a command does not have.
+pub fn allow(format: Format, allowed: &[Format]) -> eyre::Result<()> {
+    eyre::ensure!(
+        allowed.contains(&format),
+        "the command has no format {format:?}"
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,128 @@
+//! Checks of the daemons' settings: every fault with its location.
+
+use serde::de::DeserializeOwned;
+
+use crate::config::AgentSettings;
+use crate::config::EntrySettings;
+use crate::error::Code;
+use crate::yaml::Finding;
+use crate::yaml::Findings;
+use crate::yaml::Node;
+use crate::yaml::Schema;
+use crate::yaml::schema::ANY;
+use crate::yaml::schema::Field;
+use crate::yaml::schema::Kind;
+use crate::yaml::schema::NAME;
+use crate::yaml::schema::NAME_OR_EMPTY;
+use crate::yaml::schema::optional;
+use crate::yaml::schema::required;
+use crate::yaml::tree;
+
+/// Largest request body; a message between processes holds 4 MB, so larger
+/// bodies could not be handed to an agent.
+const MAX_BODY: u64 = 4 << 20;
+
+/// Longest wait for a request head.
+const MAX_HEAD_MS: u64 = 600_000;
+
+/// Largest staging memory, 1 TiB.
+const MAX_STAGING_MB: u64 = 1 << 20;
+
+/// Most requests that run or wait at one upstream.
+const MAX_REQUESTS: u64 = 1_000_000;
+
+/// Fields of `node`.
+pub const NODE: &[Field] = &[
+    required("name", Kind::Text(NAME)),
+    required("zone", Kind::Text(NAME)),
+    optional("region", Kind::Text(NAME_OR_EMPTY)),
+    required("rpc", Kind::Address),
+    required("admin", Kind::Address),
+    required("platform", Kind::List(&Kind::Address, 1)),
+    optional("peers", Kind::List(&Kind::Address, 0)),
+    optional("log", Kind::Word(&["text", "json"])),
+    optional("secret", Kind::Text(ANY)),
+];
+
+/// Settings of the entry.
+pub const ENTRY: Schema = settings(&[
+    required("node", Kind::Fields(NODE)),
+    required("http", Kind::Address),
+    optional("max_body", Kind::Whole(1, MAX_BODY)),
+    optional("head_ms", Kind::Whole(1, MAX_HEAD_MS)),
+]);
+
+/// Settings of the agent.
+pub const AGENT: Schema = settings(&[
+    required("node", Kind::Fields(NODE)),
+    required("upstream", Kind::Address),
+    required("origin", Kind::Address),
+    optional("staging_mb", Kind::Whole(1, MAX_STAGING_MB)),
+    optional("max_running", Kind::Whole(1, MAX_REQUESTS)),
+    optional("max_queued", Kind::Whole(0, MAX_REQUESTS)),
+]);
+
+const fn settings(fields: &'static [Field]) -> Schema {
+    Schema {
+        fields,
+        syntax: Code::SettingsSyntax,
+        unknown: Code::SettingsField,
+        missing: Code::SettingsField,
+        range: Code::SettingsField,
+        duplicate: Code::SettingsField,
+    }
+}
+
+/// Settings of one kind of daemon.
+pub trait Settings: DeserializeOwned {
+    /// Its fields.
+    const SCHEMA: Schema;
+    /// Paths of the addresses on which the process itself listens.
+    const LISTENS: &'static [&'static str];
+}
+
+impl Settings for EntrySettings {
+    const SCHEMA: Schema = ENTRY;
+    const LISTENS: &'static [&'static str] = &["node.rpc", "node.admin", "http"];
+}
+
+impl Settings for AgentSettings {
+    const SCHEMA: Schema = AGENT;
+    const LISTENS: &'static [&'static str] = &["node.rpc", "node.admin", "upstream"];
+}
+
+/// The settings when `text` has no fault, else all faults.
+pub fn read<T: Settings>(file: &str, text: &str) -> Result<T, Vec<Finding>> {
+    let mut findings = Findings::new(file);
+    if let Some(tree) = T::SCHEMA.read(text, &mut findings) {
+        distinct(&tree, T::LISTENS, &mut findings);
+    }
+    if !findings.list.is_empty() {
+        return Err(findings.sorted());
+    }
+    serde_saphyr::from_str(text).map_err(|e| {
+        let (place, message) = tree::fault(&e);
+        let code = Code::SettingsField;
+        findings.add(place, "document", code, "valid settings", message);
+        findings.list
+    })
+}
+
+/// Reports addresses that stand twice: the second listener could not start.
+fn distinct(tree: &Node, paths: &[&str], findings: &mut Findings) {
+    let mut seen: Vec<(&str, String)> = Vec::new();
+    for path in paths {
+        let Some(node) = path.split('.').try_fold(tree, |node, name| node.get(name)) else {
+            continue;
+        };
+        let Some(address) = node.value.scalar() else {
+            continue;
+        };
+        if let Some((first, _)) = seen.iter().find(|(_, held)| *held == address) {
+            let found = format!("the address of {first}");
+            let code = Code::SettingsField;
+            findings.add(node.place, path, code, "an address of its own", found);
+        }
+        seen.push((path, address));
+    }
+}
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,7 @@
 //! Settings of the daemons, in YAML, checked in full before anything starts.
 
+pub mod check;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -9,6 +11,8 @@
 use crate::error::Result;
 use crate::log::Format;
 
+pub use check::Settings;
+
 common! { doc
 /// Identity and addresses that both daemons have.
 pub struct Node {
@@ -95,9 +99,15 @@
 }
 
 /// Reads and checks the settings of a daemon.
-pub fn load<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T> {
+///
+/// The error names the first fault; `chervilquay check` lists all of them.
+pub fn load<T: Settings>(path: &Path) -> Result<T> {
     let text = std::fs::read_to_string(path)
         .map_err(|e| Error::new(Code::SettingsRead, format!("{}: {e}", path.display())))?;
-    serde_saphyr::from_str(&text)
-        .map_err(|e| Error::new(Code::SettingsSyntax, format!("{}: {e}", path.display())))
+    parse(&path.display().to_string(), &text)
+}
+
+/// Parses and checks the settings in `text`; `file` names it in errors.
+pub fn parse<T: Settings>(file: &str, text: &str) -> Result<T> {
+    check::read(file, text).map_err(|findings| Error::from(&findings[0]))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Weight distribution for model upstreams that must be filled in bursts under live load.
 
 pub mod arena;
+pub mod cmd;
 pub mod config;
 pub mod error;
 pub mod log;
@@ -17,3 +18,4 @@
 pub mod table;
 pub mod time;
 pub mod util;
+pub mod yaml;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,42 @@
 //! The operators' client.
 
-fn main() {}
+use std::process::ExitCode;
+
+use chervilquay::cmd;
+use chervilquay::cmd::output;
+
+/// Check, explain and observe the distribution of model weights and requests.
+#[derive(argh::FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(cmd::check::Args),
+}
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let args = match <Args as argh::FromArgs>::from_args(&["chervilquay"], &words) {
+        Ok(args) => args,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return ExitCode::from(output::EXIT_USAGE);
+        }
+    };
+    let result = match &args.command {
+        Command::Check(args) => cmd::check::run(args),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("chervilquay: {error:#}");
+        ExitCode::from(output::EXIT_FAILED)
+    })
+}
--- a/src/table/doc.rs
+++ b/src/table/doc.rs
@@ -6,7 +6,6 @@
 use crate::error::Code;
 use crate::error::Error;
 use crate::error::Result;
-use crate::util;
 
 /// Largest value that the configuration service holds, in bytes.
 pub const MAX_BYTES: usize = 1 << 20;
@@ -197,11 +196,7 @@
 
 /// Parses a pools document.
 pub fn parse_pools(text: &str) -> Result<PoolsDoc> {
-    let doc: PoolsDoc = parse(text, "pools")?;
-    for (name, pool) in &doc.pools {
-        check_pool(name, pool)?;
-    }
-    Ok(doc)
+    parse(text, "pools")
 }
 
 fn parse<T: serde::de::DeserializeOwned>(text: &str, table: &str) -> Result<T> {
@@ -211,15 +206,3 @@
     }
     serde_saphyr::from_str(text).map_err(|e| Error::new(Code::TableSyntax, format!("{table}: {e}")))
 }
-
-fn check_pool(name: &str, pool: &Pool) -> Result<()> {
-    if pool.kind == Kind::Engine && !util::is_digest(&pool.digest) {
-        let detail = format!("pools.{name}.digest: {:?}", pool.digest);
-        return Err(Error::new(Code::DigestFormat, detail));
-    }
-    if pool.max_out == 0 {
-        let detail = format!("pools.{name}.max_out: must be at least 1");
-        return Err(Error::new(Code::FieldRange, detail));
-    }
-    Ok(())
-}
--- a/src/table/join.rs
+++ b/src/table/join.rs
@@ -4,7 +4,7 @@
 use crate::error::Code;
 use crate::error::Error;
 use crate::error::Result;
-use crate::table::doc;
+use crate::table::check;
 use crate::table::doc::Pool;
 use crate::table::doc::PoolsDoc;
 use crate::table::doc::RoutesDoc;
@@ -45,13 +45,13 @@
     /// Validates and joins two documents; a pure function of the texts, so
     /// that each process accepts or refuses a set alike.
     pub fn parse(routes_text: &str, pools_text: &str) -> Result<Set> {
-        let routes = doc::parse_routes(routes_text)?;
-        let pools = doc::parse_pools(pools_text)?;
+        let pair = check::read_set(("routes", routes_text), ("pools", pools_text));
+        let (routes, pools) = pair.map_err(|findings| Error::from(&findings[0]))?;
+        // The checks compare the revisions as written, serde reads them as numbers.
         if routes.revision != pools.revision {
             let detail = format!("routes {}, pools {}", routes.revision, pools.revision);
             return Err(Error::new(Code::SetIncomplete, detail));
         }
-        check_join(&routes, &pools)?;
         Ok(Set {
             stamp: Stamp {
                 revision: routes.revision,
@@ -77,27 +77,3 @@
 pub fn set_digest(routes_text: &str, pools_text: &str) -> String {
     util::digest(format!("{}\n{routes_text}{pools_text}", routes_text.len()))
 }
-
-fn check_join(routes: &RoutesDoc, pools: &PoolsDoc) -> Result<()> {
-    for (name, route) in &routes.routes {
-        if !pools.pools.contains_key(&route.pool) {
-            let detail = format!("routes.{name}.pool: {:?}", route.pool);
-            return Err(Error::new(Code::JoinMissing, detail));
-        }
-    }
-    check_names(pools)
-}
-
-/// An upstream name stands in one pool only, since its agent finds its pool by name.
-fn check_names(pools: &PoolsDoc) -> Result<()> {
-    let mut seen = indexmap::IndexSet::new();
-    for (pool_name, pool) in &pools.pools {
-        for name in pool.upstreams.keys() {
-            if !seen.insert(name) {
-                let detail = format!("pools.{pool_name}.upstreams.{name}");
-                return Err(Error::new(Code::NameDuplicate, detail));
-            }
-        }
-    }
-    Ok(())
-}
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -1,5 +1,6 @@
 //! Routes and pools: the two tables that operators write, and their join.
 
+pub mod check;
 pub mod doc;
 pub mod join;
 pub mod matcher;
