cmd: Add codes and explain

Operators could not see from table files why a request goes where it goes, and the result codes stood in the source only.

--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,8 @@
 #[argh(subcommand)]
 enum Command {
     Check(cmd::check::Args),
+    Codes(cmd::codes::Args),
+    Explain(cmd::explain::Args),
 }
 
 fn main() -> ExitCode {
@@ -34,6 +36,8 @@
     };
     let result = match &args.command {
         Command::Check(args) => cmd::check::run(args),
+        Command::Codes(args) => cmd::codes::run(args),
+        Command::Explain(args) => cmd::explain::run(args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("chervilquay: {error:#}");
