--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,5 +1,7 @@
 //! Load and experiment tool: one subcommand an experiment.
 
+pub mod path;
+
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -19,10 +21,8 @@
 }
 
 /// Runs the experiment that the command line names.
-pub fn run(args: Args) -> eyre::Result<ExitCode> {
-    match args.experiment {
-        Experiment::Path(args) => path::run(&args),
+pub fn run(args: &Args) -> eyre::Result<ExitCode> {
+    match &args.experiment {
+        Experiment::Path(args) => path::run(args),
     }
 }
-
-pub mod path;
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -2,13 +2,13 @@
 
 use std::path::Path;
 
-use serde::de::DeserializeOwned;
 use slog::Logger;
 use smol::channel;
 use smol::channel::Receiver;
 
 use crate::config;
 use crate::config::Node;
+use crate::config::check::Settings;
 use crate::error::Result;
 use crate::log;
 use crate::net::rt;
@@ -24,7 +24,7 @@
     start: impl FnOnce(T, Logger, Receiver<()>) -> F,
 ) -> eyre::Result<()>
 where
-    T: DeserializeOwned,
+    T: Settings,
     F: Future<Output = Result<()>>,
 {
     let settings: T = config::load(path)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod table;
 pub mod time;
 pub mod util;
+pub mod yaml;
