once: Add tickets and the ledger

A call that may not be repeated needs an owner that both runs it at most once and can prove that it did not run.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod log;
 pub mod macros;
 pub mod net;
+pub mod once;
 pub mod prelude;
 #[expect(
     missing_docs,
