gate: Add admission, drain and suspects

Admission checks a request on arrival and again at dispatch, because the tables, the engine and the time may change while it waits. A reading of the engine's state that began before the engine came into doubt is ignored, so that a mismatch or an order cannot be undone by a late reply.

Suspect counts of peers are merged by origin and grow in the order of (clears, crashes). The notice gets a field for the clears: without it a repeated old notice brings back a count that a success has cleared.

--- /dev/null
+++ b/src/gate/suspect.rs
@@ -0,0 +1,254 @@
+//! Suspects: fingerprints of requests that were running when an engine crashed.
+//!
+//! Each process counts the crashes that it was told of by an agent, once for
+//! each attempt. It sends only its own counts to its peers, together with the
+//! number of times that it has cleared the fingerprint. A count is therefore
+//! identified by its origin and grows in the order of `(clears, crashes)`, so
+//! that repeated, late or reordered notices change nothing, and no crash is
+//! counted twice.
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::once::Print;
+use crate::prelude::*;
+
+/// Crashes that block a fingerprint.
+pub const BLOCK: u32 = 2;
+
+/// Fingerprints held at once.
+pub const MAX_ENTRIES: usize = 1_024;
+
+/// Time after the last crash until a fingerprint is forgotten.
+pub const EXPIRY: Millis = Millis(10 * 60_000);
+
+/// Peers whose counts are held for one fingerprint.
+const MAX_ORIGINS: usize = 16;
+
+/// Fingerprints in one notice.
+const MAX_NOTICE: usize = 64;
+
+/// Attempts remembered for one fingerprint.
+///
+/// A blocked fingerprint gets no new attempts, so few are needed.
+const MAX_ATTEMPTS: usize = 8;
+
+/// Fingerprint of a request.
+pub fn print(organisation: &str, method: &str, path: &str, body: &[u8]) -> Print {
+    let mut hash = Sha256::new();
+    for part in [organisation.as_bytes(), method.as_bytes(), path.as_bytes()] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.update(body);
+    hash.finalize().into()
+}
+
+common! { key
+/// Crashes seen by one process, as sent to its peers.
+pub struct Report {
+    /// Fingerprint of the request.
+    pub print: Print,
+    /// Times that the sender has cleared the fingerprint.
+    pub clears: u32,
+    /// Crashes since the last clear.
+    pub crashes: u32,
+    /// Time since the last change.
+    pub age: Millis,
+}
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    clears: u32,
+    crashes: u32,
+    /// Crashes that a success elsewhere has outweighed.
+    excused: u32,
+}
+
+impl Count {
+    fn weight(self) -> u32 {
+        self.crashes.saturating_sub(self.excused)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    own: Count,
+    peers: IndexMap<u64, Count>,
+    attempts: Vec<u64>,
+    at: Millis,
+}
+
+impl Entry {
+    fn weight(&self) -> u32 {
+        let peers: u32 = self.peers.values().map(|c| c.weight()).sum();
+        self.own.weight().saturating_add(peers)
+    }
+
+    fn excuse(&mut self) {
+        self.own.excused = self.own.crashes;
+        for count in self.peers.values_mut() {
+            count.excused = count.crashes;
+        }
+    }
+}
+
+/// Table of suspects of one process.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    entries: IndexMap<Print, Entry>,
+}
+
+impl Suspects {
+    /// Number of fingerprints held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// True when no fingerprint is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// True when a fingerprint is blocked.
+    pub fn is_blocked(&self, now: Millis, print: &Print) -> bool {
+        self.weight(now, print) >= BLOCK
+    }
+
+    /// True when a fingerprint was running at a crash and has not succeeded since.
+    ///
+    /// An upstream runs at most one of these at a time, so that the second crash
+    /// does not block requests that only ran beside the cause.
+    pub fn is_suspect(&self, now: Millis, print: &Print) -> bool {
+        self.weight(now, print) > 0
+    }
+
+    /// Time until the block of a fingerprint ends.
+    pub fn remaining(&self, now: Millis, print: &Print) -> Millis {
+        let entry = self.entries.get(print);
+        entry.map_or(Millis(0), |e| e.at.plus(EXPIRY).since(now))
+    }
+
+    /// Counts a crash against a request that was running; once for each attempt.
+    pub fn crash(&mut self, now: Millis, print: Print, attempt: u64) {
+        let entry = self.entry(now, print);
+        if entry.attempts.contains(&attempt) {
+            return;
+        }
+        if entry.attempts.len() == MAX_ATTEMPTS {
+            entry.attempts.remove(0);
+        }
+        entry.attempts.push(attempt);
+        entry.own.crashes = entry.own.crashes.saturating_add(1);
+        entry.at = now;
+    }
+
+    /// Clears a fingerprint whose request has succeeded.
+    pub fn success(&mut self, now: Millis, print: &Print) {
+        let Some(entry) = self.entries.get_mut(print) else {
+            return;
+        };
+        if entry.weight() == 0 {
+            return;
+        }
+        entry.excuse();
+        entry.own = Count {
+            clears: entry.own.clears.saturating_add(1),
+            ..Count::default()
+        };
+        entry.at = now;
+    }
+
+    /// Takes a peer's own count; `origin` identifies the peer.
+    pub fn merge(&mut self, now: Millis, origin: u64, report: Report) {
+        if report.age >= EXPIRY {
+            return;
+        }
+        let entry = self.entry(now, report.print);
+        if entry.peers.len() >= MAX_ORIGINS && !entry.peers.contains_key(&origin) {
+            return;
+        }
+        let held = entry.peers.entry(origin).or_default();
+        if (report.clears, report.crashes) <= (held.clears, held.crashes) {
+            return;
+        }
+        let cleared = report.clears > held.clears;
+        if cleared {
+            entry.excuse();
+        }
+        let at = now.since(report.age);
+        entry.at = entry.at.max(at);
+        let excused = if cleared {
+            0
+        } else {
+            entry.peers[&origin].excused
+        };
+        let count = Count {
+            clears: report.clears,
+            crashes: report.crashes,
+            excused,
+        };
+        entry.peers.insert(origin, count);
+    }
+
+    /// The own counts, newest first, for a notice to peers.
+    pub fn export(&self, now: Millis) -> Vec<Report> {
+        let own = self.entries.iter().filter(|(_, entry)| {
+            let known = entry.own.clears > 0 || entry.own.crashes > 0;
+            known && now.since(entry.at) < EXPIRY
+        });
+        let mut reports: Vec<Report> = own
+            .map(|(print, entry)| Report {
+                print: *print,
+                clears: entry.own.clears,
+                crashes: entry.own.crashes,
+                age: now.since(entry.at),
+            })
+            .collect();
+        reports.sort_by_key(|report| report.age);
+        reports.truncate(MAX_NOTICE);
+        reports
+    }
+
+    /// Forgets expired fingerprints.
+    pub fn tick(&mut self, now: Millis) {
+        self.entries.retain(|_, e| now.since(e.at) < EXPIRY);
+    }
+
+    fn weight(&self, now: Millis, print: &Print) -> u32 {
+        let live = |e: &&Entry| now.since(e.at) < EXPIRY;
+        self.entries
+            .get(print)
+            .filter(live)
+            .map_or(0, Entry::weight)
+    }
+
+    /// The entry of a fingerprint; makes room when the table is full.
+    fn entry(&mut self, now: Millis, print: Print) -> &mut Entry {
+        let expired = |e: &Entry| now.since(e.at) >= EXPIRY;
+        if self.entries.get(&print).is_some_and(expired) {
+            self.entries.swap_remove(&print);
+        }
+        if !self.entries.contains_key(&print) && self.entries.len() >= MAX_ENTRIES {
+            self.evict(now);
+        }
+        assert!(self.entries.len() <= MAX_ENTRIES, "too many suspects");
+        self.entries.entry(print).or_insert_with(|| Entry {
+            at: now,
+            ..Entry::default()
+        })
+    }
+
+    /// Drops the entry with the least weight, the oldest of those.
+    fn evict(&mut self, now: Millis) {
+        self.tick(now);
+        if self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        let least = self.entries.iter().min_by_key(|(_, e)| (e.weight(), e.at));
+        if let Some(print) = least.map(|(print, _)| *print) {
+            self.entries.swap_remove(&print);
+        }
+    }
+}
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -226,10 +226,14 @@
 pub struct Suspect {
     #[prost(bytes = "vec", tag = "1")]
     pub fingerprint: ::prost::alloc::vec::Vec<u8>,
+    /// Crashes that the sender has seen since its last clear.
     #[prost(uint32, tag = "2")]
     pub crashes: u32,
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Times that the sender has cleared the fingerprint after a success.
+    #[prost(uint32, tag = "4")]
+    pub clears: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchRequest {
--- /dev/null
+++ b/tests/gate_admit.rs
@@ -0,0 +1,200 @@
+//! Admission: only the whole, verified version that the request names.
+
+use chervilquay::gate::Ask;
+use chervilquay::gate::Gate;
+use chervilquay::gate::Own;
+use chervilquay::gate::Permit;
+use chervilquay::gate::admit::LEAVE_GRACE;
+use chervilquay::gate::admit::MAX_STEP;
+use chervilquay::gate::admit::Verdict;
+use chervilquay::prelude::*;
+
+const T0: Millis = Millis(10_000);
+
+fn own(digest: &str, revision: u64) -> Own {
+    Own {
+        pool: "p".to_string(),
+        model: "m".to_string(),
+        digest: digest.to_string(),
+        revision,
+        service: digest.is_empty(),
+    }
+}
+
+fn ask(digest: &str, revision: u64) -> Ask {
+    Ask {
+        pool: "p".to_string(),
+        model: "m".to_string(),
+        digest: digest.to_string(),
+        revision,
+        deadline: Millis(1_000_000),
+    }
+}
+
+fn open() -> Gate {
+    let mut gate = Gate::new(T0);
+    gate.set_own(Some(own("v1", 3)));
+    gate.set_engine(0, "v1", 3);
+    gate
+}
+
+fn permit(gate: &mut Gate, now: Millis) -> Permit {
+    match gate.admit(now, &ask("v1", 3), false) {
+        Verdict::Admit(permit) => permit,
+        verdict => panic!("{verdict:?}"),
+    }
+}
+
+fn refused(code: Code) -> Verdict {
+    Verdict::Refuse(code)
+}
+
+// Guards against admission for another pool, model, digest or engine state.
+#[test]
+fn only_the_own_version() {
+    let mut gate = Gate::new(T0);
+    assert_eq!(
+        gate.admit(T0, &ask("v1", 3), true),
+        refused(Code::TablesMissing)
+    );
+    gate.set_own(Some(own("v1", 3)));
+    let code = Code::EngineUnavailable;
+    assert_eq!(gate.admit(T0, &ask("v1", 3), false), refused(code));
+    gate.set_engine(0, "v1", 3);
+    assert!(gate.is_serving());
+    permit(&mut gate, T0);
+    let other = refused(Code::VersionMismatch);
+    assert_eq!(gate.admit(T0, &ask("v2", 3), false), other);
+    for change in [|a: &mut Ask| a.pool.clear(), |a: &mut Ask| a.model.clear()] {
+        let mut ask = ask("v1", 3);
+        change(&mut ask);
+        assert_eq!(gate.admit(T0, &ask, false), other);
+    }
+    // A higher fence shows an order by a process with newer tables.
+    gate.set_engine(0, "v1", 4);
+    assert_eq!(gate.admit(T0, &ask("v1", 3), false), other);
+}
+
+// Guards against requests lost to table changes that do not concern the pool,
+// and against decisions with older tables than the entry has.
+#[test]
+fn revisions_differ() {
+    let mut gate = open();
+    assert!(matches!(
+        gate.admit(T0, &ask("v1", 2), false),
+        Verdict::Admit(_)
+    ));
+    assert_eq!(gate.admit(T0, &ask("v1", 4), false), Verdict::Refresh);
+    assert!(matches!(
+        gate.admit(T0, &ask("v1", 4), true),
+        Verdict::Admit(_)
+    ));
+}
+
+// Guards against a load that changes weights between admission and dispatch, or
+// while a request runs.
+#[test]
+fn loads_close_the_gate() {
+    let mut gate = open();
+    let held = permit(&mut gate, T0);
+    let reading = gate.reading();
+    gate.start_order();
+    assert_eq!(gate.dispatch(T0, &held), Err(Code::VersionMismatch));
+    gate.set_engine(gate.reading(), "v1", 3);
+    assert!(!gate.is_serving());
+    gate.end_order();
+    gate.set_engine(reading, "v1", 3);
+    assert_eq!(gate.dispatch(T0, &held), Err(Code::EngineUnavailable));
+    // The engine reports a version that this process has not verified whole.
+    gate.set_own(Some(own("v2", 4)));
+    gate.set_engine(gate.reading(), "v2", 4);
+    let refusal = refused(Code::VersionMismatch);
+    assert_eq!(gate.admit(T0, &ask("v2", 4), false), refusal);
+    assert_eq!(gate.dispatch(T0, &held), Err(Code::VersionMismatch));
+    gate.set_whole("v2");
+    assert!(gate.is_serving());
+}
+
+// Guards against an order that replaces the weights under a running request.
+#[test]
+#[should_panic(expected = "order while a request runs")]
+fn order_needs_idle_engine() {
+    let mut gate = open();
+    let held = permit(&mut gate, T0);
+    assert_eq!(gate.dispatch(T0, &held), Ok(()));
+    gate.start_order();
+}
+
+// Guards against forwarding an answer of other weights, and against a gate that
+// opens again on a state read before the mismatch.
+#[test]
+fn mismatch_closes_the_gate() {
+    let mut gate = open();
+    let held = permit(&mut gate, T0);
+    assert_eq!(gate.dispatch(T0, &held), Ok(()));
+    assert!(gate.check(&held, Some("v1")).is_ok());
+    let reading = gate.reading();
+    let error = gate.check(&held, Some("v2")).unwrap_err();
+    assert_eq!(
+        (error.code, error.run),
+        (Code::AnswerMismatch, Run::Unknown)
+    );
+    gate.set_engine(reading, "v1", 3);
+    assert!(!gate.is_serving());
+    gate.set_engine(gate.reading(), "v1", 3);
+    assert!(gate.is_serving());
+    assert!(gate.check(&held, None).is_err());
+}
+
+// Guards against late work: a deadline that passes while the request waits, or
+// while the process is paused, stops the dispatch.
+#[test]
+fn waits_are_rechecked() {
+    let mut gate = open();
+    let mut soon = ask("v1", 3);
+    soon.deadline = T0.plus(Millis(1_000));
+    let Verdict::Admit(held) = gate.admit(T0, &soon, false) else {
+        panic!("not admitted");
+    };
+    let late = T0.plus(Millis(1_000));
+    assert_eq!(gate.dispatch(late, &held), Err(Code::DeadlineExceeded));
+    assert_eq!(
+        gate.admit(late, &soon, false),
+        refused(Code::DeadlineExceeded)
+    );
+}
+
+// Guards against decisions with the view from before a pause.
+#[test]
+fn jumps_make_views_stale() {
+    let mut gate = open();
+    let held = permit(&mut gate, T0);
+    let step = T0.plus(MAX_STEP);
+    assert_eq!(gate.dispatch(step, &held), Ok(()));
+    let jump = step.plus(MAX_STEP).plus(Millis(1));
+    assert_eq!(gate.dispatch(jump, &held), Err(Code::UpstreamBusy));
+    assert_eq!(gate.admit(jump, &ask("v1", 3), true), Verdict::Refresh);
+    gate.refreshed(jump);
+    permit(&mut gate, jump);
+}
+
+// Guards against new work at a leaving upstream, and against refusing work that
+// it had taken before.
+#[test]
+fn leaving_refuses_new_work() {
+    let mut gate = open();
+    let held = permit(&mut gate, T0);
+    gate.set_leaving(T0, true);
+    let code = Code::UpstreamLeaving;
+    assert_eq!(gate.admit(T0, &ask("v1", 3), false), refused(code));
+    let mut now = T0;
+    while now < T0.plus(LEAVE_GRACE) {
+        now = now.plus(Millis(500));
+        gate.set_leaving(now, true);
+        assert_eq!(gate.dispatch(now, &held), Ok(()));
+    }
+    now = now.plus(Millis(1));
+    assert_eq!(gate.dispatch(now, &held), Err(code));
+    gate.set_leaving(now, false);
+    permit(&mut gate, now);
+}
