--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod config;
 pub mod entry;
 pub mod error;
+pub mod gate;
 pub mod log;
 pub mod macros;
 pub mod net;
 pub mod node;
+pub mod once;
 pub mod prelude;
 #[expect(
     missing_docs,
