--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
     reason = "generated code"
 )]
 pub mod proto;
+pub mod retry;
 pub mod table;
 pub mod time;
 pub mod util;
