route: Add choice, ejection, affinity, reordering and request state

The entry chooses by its own observations: calls in flight by expected cost, pace of responses, refusals. Load reports lose weight with age.

`Flight` holds one request: its attempts, hedges and retries. It asserts that pieces of one attempt only reach the caller, that the end comes once, and that a call that may not be repeated is sent again only after a refusal before the run.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 )]
 pub mod proto;
 pub mod retry;
+pub mod route;
 pub mod table;
 pub mod time;
 pub mod util;
--- /dev/null
+++ b/src/route/flight.rs
@@ -0,0 +1,464 @@
+//! One request at the entry: its attempts, and exactly one whole answer.
+
+use bytes::Bytes;
+
+use crate::arena::Key;
+use crate::common;
+use crate::error::Code;
+use crate::error::Error;
+use crate::error::Run;
+use crate::retry;
+use crate::retry::Backoff;
+use crate::route::choose::Ask;
+use crate::route::choose::Call;
+use crate::route::choose::Outcome;
+use crate::route::choose::Upstream;
+use crate::route::reorder::Reorder;
+use crate::route::router::Router;
+use crate::time::Millis;
+
+/// Retry-After when nothing better is known.
+const RETRY_AFTER: Millis = Millis(1_000);
+
+/// Part of an answer as it comes from an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece<H> {
+    /// Status and headers.
+    Head(H),
+    /// Part of the body.
+    Data(Bytes),
+    /// End, with the length of the whole body.
+    Done(u64),
+}
+
+/// What the entry is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<H> {
+    /// Send the request to an upstream.
+    Send {
+        /// Attempt number, from 1.
+        attempt: u32,
+        /// Where to.
+        upstream: Key<Upstream>,
+        /// Time left until the deadline.
+        remaining: Millis,
+    },
+    /// Cancel an attempt at its upstream.
+    Cancel {
+        /// Attempt number.
+        attempt: u32,
+        /// Where it runs.
+        upstream: Key<Upstream>,
+    },
+    /// Give status and headers to the caller.
+    Head(H),
+    /// Give part of the body to the caller.
+    Data(Bytes),
+    /// End of the whole answer.
+    End,
+    /// The request failed; the last action.
+    Fail(Error),
+}
+
+common! { value
+/// What is fixed about a request when it arrives.
+pub struct Plan {
+    /// Needs of the request.
+    pub ask: Ask,
+    /// Time at which it is given up.
+    pub deadline: Millis,
+}
+}
+
+#[derive(Clone, Debug)]
+struct Attempt<H> {
+    upstream: Key<Upstream>,
+    /// None once it has ended.
+    call: Option<Key<Call>>,
+    reorder: Reorder<Piece<H>>,
+    last: Option<Millis>,
+}
+
+/// State of one request.
+///
+/// # Invariants
+///
+/// Pieces of one attempt only reach the caller; [`Action::End`] or
+/// [`Action::Fail`] comes once and last; `End` comes only after a `Done` piece
+/// whose length equals the bytes given out.
+#[derive(Clone, Debug)]
+pub struct Flight<H> {
+    plan: Plan,
+    attempts: Vec<Attempt<H>>,
+    winner: Option<usize>,
+    given: u64,
+    headed: bool,
+    finished: bool,
+    hedge: Option<Millis>,
+    again: Option<Millis>,
+    backoff: Backoff,
+    /// The error reported if no further attempt succeeds.
+    error: Option<Error>,
+    /// True once any attempt may have run.
+    ran: bool,
+}
+
+impl<H> Flight<H> {
+    /// A request that was not yet sent.
+    pub fn new(plan: Plan) -> Flight<H> {
+        Flight {
+            plan,
+            attempts: Vec::new(),
+            winner: None,
+            given: 0,
+            headed: false,
+            finished: false,
+            hedge: None,
+            again: None,
+            backoff: Backoff::default(),
+            error: None,
+            ran: false,
+        }
+    }
+
+    /// True after the last action.
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Attempts so far.
+    pub fn attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Number of the attempt whose answer the caller gets.
+    pub fn winner(&self) -> Option<u32> {
+        self.winner.map(|index| index as u32 + 1)
+    }
+
+    /// Time of the next call of [`Flight::tick`].
+    pub fn wake(&self) -> Millis {
+        let times = [Some(self.plan.deadline), self.hedge, self.again];
+        let earliest = times.into_iter().flatten().min();
+        earliest.unwrap_or(self.plan.deadline)
+    }
+
+    /// Sends the first attempt.
+    pub fn start(&mut self, now: Millis, router: &mut Router, out: &mut Vec<Action<H>>) {
+        assert!(self.attempts.is_empty(), "a request starts once");
+        router.request();
+        if now >= self.plan.deadline {
+            return self.fail(now, late(), router, out);
+        }
+        if !self.send(now, router, out) {
+            self.fail(now, none_open(now, router), router, out);
+        }
+    }
+
+    /// Takes one frame of an attempt.
+    pub fn on_frame(
+        &mut self,
+        now: Millis,
+        (attempt, seq): (u32, u64),
+        piece: Piece<H>,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        let Some(index) = self.open(attempt) else {
+            return;
+        };
+        if self.attempts[index].reorder.push(seq, piece).is_err() {
+            return self.refuse(now, attempt, "frame is ahead of the window", router, out);
+        }
+        while !self.finished {
+            let Some(piece) = self.attempts[index].reorder.pop() else {
+                break;
+            };
+            self.deliver(now, index, piece, router, out);
+        }
+    }
+
+    /// Takes the failure of an attempt.
+    pub fn on_fail(
+        &mut self,
+        now: Millis,
+        attempt: u32,
+        error: Error,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        let Some(index) = self.open(attempt) else {
+            return;
+        };
+        let outcome = match (error.run, error.code) {
+            (Run::NotRun, Code::UpstreamBusy) => Outcome::Busy,
+            (Run::NotRun, _) => Outcome::Refused(now.plus(error.retry.unwrap_or(RETRY_AFTER))),
+            _ => Outcome::Failed,
+        };
+        self.close(now, index, outcome, router);
+        self.ran |= error.run != Run::NotRun;
+        if self.winner == Some(index) {
+            let run = if self.headed { Run::Partial } else { error.run };
+            return self.fail(now, error.with_run(run), router, out);
+        }
+        let repeat = retry::may_repeat(error.run, self.plan.ask.repeatable);
+        self.note(error);
+        if self.attempts.iter().any(|a| a.call.is_some()) {
+            return;
+        }
+        let room = repeat && self.attempts.len() < retry::MAX_ATTEMPTS;
+        if !room || !router.retries.spend() {
+            return self.give_up(now, router, out);
+        }
+        let at = now.plus(self.backoff.next(&mut router.rng));
+        if at >= self.plan.deadline {
+            router.retries.refund();
+            return self.give_up(now, router, out);
+        }
+        (self.hedge, self.again) = (None, Some(at));
+    }
+
+    /// The caller has gone: cancels all attempts.
+    pub fn cancel(&mut self, now: Millis, router: &mut Router, out: &mut Vec<Action<H>>) {
+        if !self.finished {
+            let error = Error::new(Code::Cancelled, "caller has gone");
+            self.fail(now, error, router, out);
+        }
+    }
+
+    /// Checks the deadline and sends what is due.
+    pub fn tick(&mut self, now: Millis, router: &mut Router, out: &mut Vec<Action<H>>) {
+        if self.finished {
+            return;
+        }
+        if now >= self.plan.deadline {
+            let run = if self.ran || self.sent() {
+                Run::Unknown
+            } else {
+                Run::NotRun
+            };
+            return self.fail(now, late().with_run(run), router, out);
+        }
+        if self.again.is_some_and(|at| at <= now) {
+            self.again = None;
+            if !self.send(now, router, out) {
+                router.retries.refund();
+                self.give_up(now, router, out);
+            }
+            return;
+        }
+        if self.hedge.is_some_and(|at| at <= now) {
+            self.hedge = None;
+            self.try_hedge(now, router, out);
+        }
+    }
+
+    fn try_hedge(&mut self, now: Millis, router: &mut Router, out: &mut Vec<Action<H>>) {
+        assert!(self.plan.ask.repeatable, "only repeatable calls are hedged");
+        if self.winner.is_some() || self.attempts.len() >= retry::MAX_ATTEMPTS {
+            return;
+        }
+        if router.hedges.spend() && !self.send(now, router, out) {
+            router.hedges.refund();
+        }
+    }
+
+    /// Sends another attempt; false when no upstream is open.
+    fn send(&mut self, now: Millis, router: &mut Router, out: &mut Vec<Action<H>>) -> bool {
+        assert!(!self.finished && self.winner.is_none());
+        let alone = !self.ran && !self.sent();
+        assert!(
+            self.plan.ask.repeatable || alone,
+            "a call that may not be repeated may have run"
+        );
+        let used: Vec<_> = self.attempts.iter().map(|a| a.upstream).collect();
+        let ask = &self.plan.ask;
+        let Some(upstream) = router.chooser.pick(now, ask, &used) else {
+            return false;
+        };
+        let call = router.chooser.sent(now, upstream, ask);
+        self.attempts.push(Attempt {
+            upstream,
+            call,
+            reorder: Reorder::default(),
+            last: None,
+        });
+        let first = self.attempts.len() == 1;
+        if first && ask.repeatable {
+            self.hedge = Some(now.plus(router.hedge_delay(ask)));
+        }
+        out.push(Action::Send {
+            attempt: self.attempts.len() as u32,
+            upstream,
+            remaining: self.plan.deadline.since(now),
+        });
+        true
+    }
+
+    fn deliver(
+        &mut self,
+        now: Millis,
+        index: usize,
+        piece: Piece<H>,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        if self.winner.is_none() {
+            self.win(now, index, router, out);
+        }
+        assert_eq!(self.winner, Some(index), "answers are never mixed");
+        match piece {
+            Piece::Head(head) if !self.headed => {
+                self.headed = true;
+                out.push(Action::Head(head));
+            }
+            Piece::Data(bytes) if self.headed => {
+                self.observe(now, index, router);
+                self.given += bytes.len() as u64;
+                out.push(Action::Data(bytes));
+            }
+            Piece::Done(length) if self.headed && length == self.given => {
+                self.close(now, index, Outcome::Done, router);
+                self.finish(now, Action::End, router, out);
+            }
+            Piece::Head(_) => self.refuse(now, index as u32 + 1, "second head", router, out),
+            Piece::Data(_) => {
+                self.refuse(now, index as u32 + 1, "data before the head", router, out)
+            }
+            Piece::Done(_) => {
+                self.refuse(now, index as u32 + 1, "end at another length", router, out)
+            }
+        }
+    }
+
+    /// Ends an attempt that broke the protocol; it may still run there.
+    fn refuse(
+        &mut self,
+        now: Millis,
+        attempt: u32,
+        what: &str,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        let upstream = self.attempts[attempt as usize - 1].upstream;
+        out.push(Action::Cancel { attempt, upstream });
+        let error = Error::new(Code::ProtocolInvalid, what).with_run(Run::Unknown);
+        self.on_fail(now, attempt, error, router, out);
+    }
+
+    /// Makes one attempt the answer and cancels the others.
+    fn win(&mut self, now: Millis, index: usize, router: &mut Router, out: &mut Vec<Action<H>>) {
+        self.winner = Some(index);
+        (self.hedge, self.again) = (None, None);
+        if let Some(call) = self.attempts[index].call {
+            router.begun(now, call, self.plan.ask.short);
+        }
+        for other in 0..self.attempts.len() {
+            if other != index {
+                self.drop_attempt(now, other, router, out);
+            }
+        }
+    }
+
+    fn observe(&mut self, now: Millis, index: usize, router: &mut Router) {
+        let attempt = &mut self.attempts[index];
+        if let (Some(last), Some(call)) = (attempt.last, attempt.call) {
+            router.chooser.gap(call, now.since(last).0 as f64);
+        }
+        attempt.last = Some(now);
+    }
+
+    /// Index of an attempt that has not ended.
+    fn open(&self, attempt: u32) -> Option<usize> {
+        let index = (attempt as usize).checked_sub(1)?;
+        let held = self.attempts.get(index)?;
+        (!self.finished && held.call.is_some()).then_some(index)
+    }
+
+    fn sent(&self) -> bool {
+        self.attempts.iter().any(|a| a.call.is_some())
+    }
+
+    fn close(&mut self, now: Millis, index: usize, outcome: Outcome, router: &mut Router) {
+        if let Some(call) = self.attempts[index].call.take() {
+            router.ended(now, call, outcome);
+        }
+    }
+
+    fn drop_attempt(
+        &mut self,
+        now: Millis,
+        index: usize,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        if self.attempts[index].call.is_some() {
+            self.close(now, index, Outcome::Cancelled, router);
+            out.push(Action::Cancel {
+                attempt: index as u32 + 1,
+                upstream: self.attempts[index].upstream,
+            });
+        }
+    }
+
+    /// Keeps the error that says most: one after a run goes before a refusal.
+    fn note(&mut self, error: Error) {
+        let held_run = self.error.as_ref().is_some_and(|e| e.run != Run::NotRun);
+        if !held_run {
+            self.error = Some(error);
+        }
+    }
+
+    fn give_up(&mut self, now: Millis, router: &mut Router, out: &mut Vec<Action<H>>) {
+        let mut error = self.error.take().unwrap_or_else(|| none_open(now, router));
+        if self.ran && error.run == Run::NotRun {
+            error.run = Run::Unknown;
+        }
+        self.fail(now, error, router, out);
+    }
+
+    fn fail(
+        &mut self,
+        now: Millis,
+        mut error: Error,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        let open = self.sent();
+        if self.headed {
+            error.run = Run::Partial;
+        } else if open || self.ran {
+            error.run = Run::Unknown;
+        }
+        error.retry.get_or_insert(RETRY_AFTER);
+        self.finish(now, Action::Fail(error), router, out);
+    }
+
+    fn finish(
+        &mut self,
+        now: Millis,
+        last: Action<H>,
+        router: &mut Router,
+        out: &mut Vec<Action<H>>,
+    ) {
+        assert!(!self.finished, "a request ends once");
+        for index in 0..self.attempts.len() {
+            self.drop_attempt(now, index, router, out);
+        }
+        self.finished = true;
+        (self.hedge, self.again) = (None, None);
+        out.push(last);
+    }
+}
+
+fn late() -> Error {
+    Error::new(Code::DeadlineExceeded, "deadline has passed")
+}
+
+fn none_open(now: Millis, router: &Router) -> Error {
+    let error = Error::new(Code::NoUpstream, "no upstream takes work");
+    match router.chooser.reopens(now) {
+        Some(at) if at > now => error.with_retry(at.since(now)),
+        _ => error,
+    }
+}
--- /dev/null
+++ b/src/route/router.rs
@@ -0,0 +1,91 @@
+//! Everything that the requests of one pool share at one entry.
+
+use fastrand::Rng;
+
+use crate::arena::Key;
+use crate::retry;
+use crate::retry::Budget;
+use crate::route::choose::Ask;
+use crate::route::choose::Call;
+use crate::route::choose::Chooser;
+use crate::route::choose::Outcome;
+use crate::route::hedge::Delay;
+use crate::time::Millis;
+
+/// Extra attempts allowed before any request was counted.
+const RESERVE: f64 = 5.0;
+
+/// Interval at which learned values are recomputed.
+const TICK: Millis = Millis(100);
+
+/// Shared state of the requests to one pool.
+#[derive(Debug)]
+pub struct Router {
+    /// Upstreams and their observed state.
+    pub chooser: Chooser,
+    /// Budget of retries.
+    pub retries: Budget,
+    /// Budget of hedges.
+    pub hedges: Budget,
+    pub(crate) rng: Rng,
+    short: Delay,
+    long: Delay,
+    ticked: Millis,
+}
+
+impl Router {
+    /// A router without upstreams.
+    pub fn new(seed: u64) -> Router {
+        Router {
+            chooser: Chooser::new(seed),
+            retries: Budget::new(retry::RETRY_RATIO, RESERVE),
+            hedges: Budget::new(retry::HEDGE_RATIO, 0.0),
+            rng: Rng::with_seed(seed ^ 1),
+            short: Delay::default(),
+            long: Delay::default(),
+            ticked: Millis(0),
+        }
+    }
+
+    /// Counts a new request.
+    pub fn request(&mut self) {
+        self.retries.deposit();
+        self.hedges.deposit();
+    }
+
+    /// Time to wait for the first frame before hedging.
+    pub fn hedge_delay(&self, ask: &Ask) -> Millis {
+        if ask.short {
+            self.short.value()
+        } else {
+            self.long.value()
+        }
+    }
+
+    /// Counts the first frame of an answer.
+    pub fn begun(&mut self, now: Millis, call: Key<Call>, short: bool) {
+        if let Some(first) = self.chooser.begun(now, call) {
+            let delay = if short {
+                &mut self.short
+            } else {
+                &mut self.long
+            };
+            delay.add(first);
+        }
+    }
+
+    /// Counts the end of a call.
+    pub fn ended(&mut self, now: Millis, call: Key<Call>, outcome: Outcome) {
+        self.chooser.ended(now, call, outcome);
+    }
+
+    /// Runs the systems; to be called every 50 to 100 ms.
+    pub fn tick(&mut self, now: Millis) {
+        self.chooser.tick(now);
+        if now.since(self.ticked) >= TICK {
+            self.ticked = now;
+            self.short.tick();
+            self.long.tick();
+        }
+    }
+}
--- /dev/null
+++ b/tests/route_choice.rs
@@ -0,0 +1,155 @@
+//! Choice of an upstream: load, zones, affinity, subsets.
+
+use chervilquay::prelude::*;
+use chervilquay::route::Ask;
+use chervilquay::route::Chooser;
+use chervilquay::route::Member;
+use chervilquay::route::affinity::CacheChange;
+use chervilquay::route::affinity::CacheEvent;
+use chervilquay::route::choose::Outcome;
+use chervilquay::route::choose::Report;
+use chervilquay::route::subset;
+
+const NOW: Millis = Millis(1_000);
+
+fn members(zone: &str, count: usize) -> Vec<Member> {
+    let member = |i| Member {
+        name: format!("{zone}-{i}"),
+        zone: zone.to_string(),
+        ready: true,
+    };
+    (0..count).map(member).collect()
+}
+
+fn ask(prefix: Option<u64>) -> Ask {
+    Ask {
+        cost: 50.0,
+        short: true,
+        repeatable: true,
+        prefix,
+    }
+}
+
+fn spread(chooser: &mut Chooser, count: usize) -> Vec<u32> {
+    for _ in 0..count {
+        let key = chooser.pick(NOW, &ask(None), &[]).expect("one is open");
+        chooser.sent(NOW, key, &ask(None));
+    }
+    chooser.iter().map(|(_, u)| u.calls).collect()
+}
+
+// Guards against uneven load from equal upstreams.
+#[test]
+fn load_spread_evenly() {
+    let mut chooser = Chooser::new(1);
+    chooser.set_members("a", &members("a", 5));
+    let calls = spread(&mut chooser, 100);
+    assert!(calls.iter().all(|n| (18..=22).contains(n)), "{calls:?}");
+}
+
+// Guards against use of other zones while the own zone has room, and against
+// an own zone that is flooded while others are idle.
+#[test]
+fn zones_spill_by_load() {
+    let mut chooser = Chooser::new(1);
+    let mut all = members("a", 2);
+    all.extend(members("b", 2));
+    chooser.set_members("a", &all);
+    let calls = spread(&mut chooser, 2);
+    assert_eq!(calls[2..], [0, 0]);
+    let calls = spread(&mut chooser, 40);
+    assert!(calls[2..].iter().all(|n| *n > 0), "{calls:?}");
+    assert!(calls[0] > calls[2], "{calls:?}");
+}
+
+// Guards against old load reports that outweigh own observations.
+#[test]
+fn reports_age() {
+    let mut chooser = Chooser::new(1);
+    chooser.set_members("a", &members("a", 2));
+    let loaded = chooser.find("a-0").expect("member");
+    let report = |taken| Report {
+        running: 8,
+        queued: 8,
+        wait: 100.0,
+        taken,
+    };
+    chooser.report(loaded, report(NOW));
+    let calls = spread(&mut chooser, 4);
+    assert_eq!(calls, [0, 4]);
+    chooser.report(loaded, report(Millis(0)));
+    let later = NOW.plus(Millis(60_000));
+    assert_eq!(chooser.pick(later, &ask(None), &[]), Some(loaded));
+}
+
+// Guards against a refusing or leaving upstream that keeps getting calls.
+#[test]
+fn closed_are_avoided() {
+    let mut chooser = Chooser::new(1);
+    chooser.set_members("a", &members("a", 2));
+    let first = chooser.find("a-0").expect("member");
+    let call = chooser.sent(NOW, first, &ask(None)).expect("held");
+    chooser.ended(NOW, call, Outcome::Refused(NOW.plus(Millis(500))));
+    assert_eq!(spread(&mut chooser, 3), [0, 3]);
+    let mut left = members("a", 2);
+    left[1].ready = false;
+    chooser.set_members("a", &left);
+    assert_eq!(chooser.pick(NOW, &ask(None), &[]), None);
+    let later = NOW.plus(Millis(500));
+    assert_eq!(chooser.pick(later, &ask(None), &[]), Some(first));
+}
+
+// Guards against affinity that overloads the holder of a popular prefix.
+#[test]
+fn affinity_bounded() {
+    let mut chooser = Chooser::new(1);
+    chooser.set_members("a", &members("a", 3));
+    let holder = chooser.find("a-2").expect("member");
+    chooser.affinity.served(NOW, 7, holder);
+    assert_eq!(chooser.pick(NOW, &ask(Some(7)), &[]), Some(holder));
+    for _ in 0..60 {
+        let key = chooser.pick(NOW, &ask(Some(7)), &[]).expect("open");
+        chooser.sent(NOW, key, &ask(Some(7)));
+    }
+    let calls: Vec<_> = chooser.iter().map(|(_, u)| u.calls).collect();
+    assert!(calls[2] > calls[0] && calls[2] < 30, "{calls:?}");
+}
+
+// Guards against full belief in entries older than a gap in the events, and
+// against events that arrive after later ones.
+#[test]
+fn gaps_cast_doubt() {
+    let mut chooser = Chooser::new(1);
+    chooser.set_members("a", &members("a", 1));
+    let key = chooser.find("a-0").expect("member");
+    let event = |seq, prefix, change| CacheEvent {
+        seq,
+        prefix,
+        change,
+    };
+    let affinity = &mut chooser.affinity;
+    affinity.on_event(NOW, key, event(0, 1, CacheChange::Stored));
+    let whole = affinity.belief(NOW, 1, key);
+    let later = NOW.plus(Millis(1));
+    affinity.on_event(later, key, event(5, 2, CacheChange::Stored));
+    assert!(affinity.belief(later, 1, key) < 0.6 * whole);
+    affinity.on_event(later, key, event(3, 2, CacheChange::Evicted));
+    assert!(affinity.belief(later, 2, key) > 0.9);
+    (0..10_000).for_each(|p| affinity.served(later, p, key));
+    assert!(affinity.len() <= 4_096);
+}
+
+// Guards against a member change that moves the whole subset.
+#[test]
+fn subsets_stable() {
+    let mut all = members("a", 60);
+    all.extend(members("b", 60));
+    let before = subset::subset("entry-1", "a", &all);
+    assert_eq!(before.len(), subset::LOCAL + subset::REMOTE);
+    let gone = before[0].name.clone();
+    all.retain(|m| m.name != gone);
+    let after = subset::subset("entry-1", "a", &all);
+    let kept = after.iter().filter(|m| before.contains(m)).count();
+    assert_eq!(kept, before.len() - 1);
+    assert_ne!(before, subset::subset("entry-2", "a", &all));
+}
