--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod proto;
 pub mod retry;
 pub mod route;
+pub mod sched;
 pub mod table;
 pub mod time;
 pub mod util;
