--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod arena;
 pub mod config;
 pub mod error;
+pub mod limit;
 pub mod log;
 pub mod macros;
 pub mod net;
