--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod error;
 pub mod gate;
+pub mod limit;
 pub mod log;
 pub mod macros;
 pub mod net;
@@ -21,6 +22,9 @@
     reason = "generated code"
 )]
 pub mod proto;
+pub mod retry;
+pub mod route;
+pub mod sched;
 pub mod standin;
 pub mod table;
 pub mod time;
