gate: Count a crash once for each fingerprint

A request that ran twice at one upstream reported one crash twice and was blocked; now one attempt of each fingerprint reports. A clear that a process heard of before the crash it outweighs had no effect; now the time of the last success is kept.

--- a/src/gate/suspect.rs
+++ b/src/gate/suspect.rs
@@ -1,7 +1,7 @@
 //! Suspects: fingerprints of requests that were running when an engine crashed.
 //!
-//! Each process counts the crashes that it was told of by an agent, once for
-//! each attempt. It sends only its own counts to its peers, together with the
+//! The agent reports a crash for one attempt of each fingerprint that was
+//! running ([`reporters`]), and the entry of that attempt counts it. It sends only its own counts to its peers, together with the
 //! number of times that it has cleared the fingerprint. A count is therefore
 //! identified by its origin and grows in the order of `(clears, crashes)`, so
 //! that repeated, late or reordered notices change nothing, and no crash is
@@ -44,6 +44,15 @@
     hash.finalize().into()
 }
 
+/// For each running attempt, whether it reports the crash of its engine.
+///
+/// A popular request may run several times at once, through several entries.
+/// If each attempt reported the crash, one crash would block it.
+pub fn reporters(running: &[Print]) -> Vec<bool> {
+    let mut seen = indexmap::IndexSet::new();
+    running.iter().map(|print| seen.insert(*print)).collect()
+}
+
 common! { key
 /// Crashes seen by one process, as sent to its peers.
 pub struct Report {
@@ -77,7 +86,10 @@
     own: Count,
     peers: IndexMap<u64, Count>,
     attempts: Vec<u64>,
+    /// Last change, by the own clock.
     at: Millis,
+    /// Last success that is known, here or at a peer.
+    success: Millis,
 }
 
 impl Entry {
@@ -153,6 +165,7 @@
             return;
         }
         entry.excuse();
+        entry.success = now;
         entry.own = Count {
             clears: entry.own.clears.saturating_add(1),
             ..Count::default()
@@ -169,26 +182,29 @@
         if entry.peers.len() >= MAX_ORIGINS && !entry.peers.contains_key(&origin) {
             return;
         }
-        let held = entry.peers.entry(origin).or_default();
+        let held = entry.peers.get(&origin).copied().unwrap_or_default();
         if (report.clears, report.crashes) <= (held.clears, held.crashes) {
             return;
         }
-        let cleared = report.clears > held.clears;
-        if cleared {
-            entry.excuse();
-        }
         let at = now.since(report.age);
-        entry.at = entry.at.max(at);
-        let excused = if cleared {
-            0
-        } else {
-            entry.peers[&origin].excused
-        };
-        let count = Count {
+        let cleared = report.clears > held.clears;
+        let mut count = Count {
             clears: report.clears,
             crashes: report.crashes,
-            excused,
+            excused: if cleared { 0 } else { held.excused },
         };
+        // The age is that of the clear only when no crash has come after it.
+        if cleared && report.crashes == 0 {
+            entry.success = entry.success.max(at);
+            if at >= entry.at {
+                entry.excuse();
+            }
+        }
+        // A success outweighs the crashes before it, also when it was heard of first.
+        if at <= entry.success {
+            count.excused = count.crashes;
+        }
+        entry.at = entry.at.max(at);
         entry.peers.insert(origin, count);
     }
 
