demo: Check each invariant on a fleet in one process

Cause: nothing showed in one command whether the invariants hold. Change: `chervilquay demo` starts platform, origin, engines, agents and entries over loopback, rolls out, drains, refills and stops an entry under load, and counts the checks of each invariant; a spinner on a terminal.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet in one process: platform, origin, engines, entries, agents.
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,6 +27,7 @@
 use crate::standin::engine::Engine;
 use crate::standin::origin::Origin;
 use crate::standin::platform::Platform;
+use crate::table::Stamp;
 
 /// Largest answer, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -81,10 +83,8 @@
     pub engine: Engine,
     /// The agent.
     pub agent: Agent,
-    /// Closing it drains the agent.
-    pub stop: Option<Sender<()>>,
-    /// The agent's task.
-    pub task: Option<smol::Task<Result<()>>>,
+    _stop: Sender<()>,
+    _task: smol::Task<Result<()>>,
     _engine: Running,
 }
 
@@ -97,10 +97,25 @@
     pub admin: SocketAddr,
     /// The entry.
     pub entry: Entry,
-    /// Closing it drains the entry.
-    pub stop: Option<Sender<()>>,
-    /// The entry's task.
-    pub task: Option<smol::Task<Result<()>>>,
+    stop: Mutex<Option<Sender<()>>>,
+    task: Mutex<Option<smol::Task<Result<()>>>>,
+}
+
+impl EntryVm {
+    /// False once the entry drains.
+    pub fn is_open(&self) -> bool {
+        self.stop
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .is_some()
+    }
+}
+
+/// What the operators have published last.
+#[derive(Clone, Debug, Default)]
+struct Published {
+    revision: u64,
+    digest: String,
 }
 
 /// A running fleet.
@@ -114,12 +129,9 @@
     pub agents: Vec<AgentVm>,
     /// Entries.
     pub entries: Vec<EntryVm>,
-    /// Revision published last.
-    pub revision: u64,
-    /// Manifest digest published last.
-    pub digest: String,
+    published: Mutex<Published>,
     plan: Plan,
-    clients: std::sync::Mutex<IndexMap<SocketAddr, Arc<Client>>>,
+    clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
     _standins: Vec<Running>,
 }
 
@@ -157,15 +169,14 @@
         for index in 0..plan.entries {
             entries.push(start_entry(&plan, index, platform_run.addr)?);
         }
-        let mut fleet = Fleet {
+        let fleet = Fleet {
             platform,
             origin,
             agents,
             entries,
-            revision: 0,
-            digest: String::new(),
+            published: Mutex::default(),
             plan,
-            clients: std::sync::Mutex::default(),
+            clients: Mutex::default(),
             _standins: vec![platform_run, origin_run],
         };
         let seed = fleet.plan.seed;
@@ -175,16 +186,20 @@
     }
 
     /// Stores a new version at the origin; [`Fleet::publish`] puts it in force.
-    pub fn new_version(&mut self, seed: u64) {
+    pub fn new_version(&self, seed: u64) {
         let mut weights = vec![0; self.plan.weights_len];
         fastrand::Rng::with_seed(seed).fill(&mut weights);
-        self.digest = self.origin.publish(&weights, self.plan.chunk_len);
+        let digest = self.origin.publish(&weights, self.plan.chunk_len);
+        self.published().digest = digest;
     }
 
     /// Publishes the tables under the next revision, with `drained` upstreams emptied.
-    pub fn publish(&mut self, drained: &[&str]) {
-        self.revision += 1;
-        let revision = self.revision;
+    pub fn publish(&self, drained: &[&str]) {
+        let Published { revision, digest } = {
+            let mut published = self.published();
+            published.revision += 1;
+            published.clone()
+        };
         let routes = json!({
             "revision": revision,
             "routes": {
@@ -200,7 +215,7 @@
         let pools = json!({
             "revision": revision,
             "pools": {
-                "assistant": { "model": "assistant", "digest": self.digest,
+                "assistant": { "model": "assistant", "digest": digest,
                     "upstreams": upstreams(engines, drained) },
                 "booking": { "kind": "service", "upstreams": upstreams(services, drained) },
             },
@@ -223,14 +238,70 @@
     }
 
     fn is_serving(&self) -> bool {
-        let agents = self.agents.iter().filter(|vm| vm.stop.is_some());
-        let entries = self.entries.iter().filter(|vm| vm.stop.is_some());
-        agents.clone().all(|vm| {
-            vm.agent.node.view.stamp().revision == self.revision
-                && vm.agent.duty().map(|d| d.digest) == vm.agent.loaded.digest()
-        }) && entries
-            .clone()
-            .all(|vm| vm.entry.node.view.stamp().revision == self.revision)
+        let loads = |vm: &AgentVm| vm.agent.duty().map(|d| d.digest) == vm.agent.loaded.digest();
+        self.is_in_force() && self.agents.iter().all(loads)
+    }
+
+    /// True when every process holds the last revision.
+    pub fn is_in_force(&self) -> bool {
+        let revision = self.published().revision;
+        self.stamps().iter().all(|stamp| stamp.revision == revision)
+    }
+
+    /// The stamp in force at each agent and each open entry.
+    pub fn stamps(&self) -> Vec<Stamp> {
+        let agents = self.agents.iter().map(|vm| vm.agent.node.view.stamp());
+        let entries = self.entries.iter().filter(|vm| vm.is_open());
+        let entries = entries.map(|vm| vm.entry.node.view.stamp());
+        agents.chain(entries).collect()
+    }
+
+    /// Address of an open entry; `turn` spreads callers over them.
+    pub fn open_entry(&self, turn: u64) -> SocketAddr {
+        let open: Vec<SocketAddr> = self
+            .entries
+            .iter()
+            .filter(|vm| vm.is_open())
+            .map(|vm| vm.http)
+            .collect();
+        open[turn as usize % open.len()]
+    }
+
+    /// The upstreams of the pool `booking`.
+    pub fn services(&self) -> &[AgentVm] {
+        &self.agents[self.plan.engines..]
+    }
+
+    /// Length of a version, in bytes.
+    pub fn weights_len(&self) -> usize {
+        self.plan.weights_len
+    }
+
+    /// Drains an entry and waits for its end.
+    pub async fn stop_entry(&self, index: usize) {
+        let vm = &self.entries[index];
+        let stop = vm.stop.lock().unwrap_or_else(|e| e.into_inner()).take();
+        drop(stop);
+        let task = vm.task.lock().unwrap_or_else(|e| e.into_inner()).take();
+        if let Some(task) = task {
+            let _ = task.await;
+        }
+    }
+
+    /// A ticket for a call that may not be repeated; none when refused.
+    pub async fn ticket(&self, entry: SocketAddr, path: &str) -> Option<String> {
+        let body = json!({ "method": "POST", "path": path });
+        let sent = self.send(entry, "/chervilquay/tickets", None, body.to_string());
+        let (status, bytes) = sent.await.ok()?;
+        if status != 200 {
+            return None;
+        }
+        let value: Value = serde_json::from_slice(&bytes).ok()?;
+        value["ticket"].as_str().map(str::to_string)
+    }
+
+    fn published(&self) -> std::sync::MutexGuard<'_, Published> {
+        self.published.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Sends a streamed completion and checks its answer against the request.
@@ -362,8 +433,8 @@
         admin,
         engine,
         agent,
-        stop: Some(stop),
-        task: Some(task),
+        _stop: stop,
+        _task: task,
         _engine: running,
     })
 }
@@ -384,7 +455,7 @@
         http,
         admin,
         entry,
-        stop: Some(stop),
-        task: Some(task),
+        stop: Mutex::new(Some(stop)),
+        task: Mutex::new(Some(task)),
     })
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod codes;
 pub mod daemon;
+pub mod demo;
 pub mod explain;
 pub mod output;
 pub mod standin;
--- /dev/null
+++ b/src/demo/steps.rs
@@ -0,0 +1,259 @@
+//! The steps of the demonstration.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::bench::fleet::Fleet;
+use crate::bench::fleet::Plan;
+use crate::demo::Checks;
+use crate::demo::Promise;
+use crate::demo::load;
+use crate::demo::load::Barred;
+use crate::demo::load::Outcome;
+use crate::net::rt;
+use crate::prelude::*;
+use crate::table::Stamp;
+
+/// Time in which a change must be in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(13);
+
+/// Time after which a leaving upstream gets no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// Longest time of one step.
+const STEP_LIMIT: Duration = Duration::from_secs(60);
+
+/// Callers of completions and of bookings.
+const COMPLETION_CALLERS: u64 = 6;
+const BOOKING_CALLERS: u64 = 2;
+
+/// Tokens of the streams that run while an upstream or entry leaves.
+const STREAM_TOKENS: u64 = 400;
+
+/// Interval at which the revision of each process is read.
+const SAMPLE: Duration = Duration::from_millis(20);
+
+/// Shows the progress of the steps.
+pub type Show<'a> = &'a dyn Fn(&str);
+
+/// Runs all steps and returns the checks made on the way.
+pub async fn run(seed: u64, show: Show<'_>) -> Result<Checks> {
+    let checks = Checks::default();
+    let plan = Plan {
+        seed,
+        entries: 3,
+        engines: 6,
+        services: 3,
+        ..Plan::default()
+    };
+    let begin = Instant::now();
+    let fleet = Fleet::start(plan).await?;
+    fleet.until_serving(STEP_LIMIT).await?;
+    let seconds = begin.elapsed().as_secs_f64();
+    show(&format!(
+        "6 engines in 3 zones hold version 1 after {seconds:.2} s"
+    ));
+    let fleet = Arc::new(fleet);
+    let outcome = Arc::new(Outcome::default());
+    let barred = Arc::new(Barred::default());
+    let callers = start_callers(&fleet, &checks, &outcome, &barred);
+    let sampler = rt::spawn(sample(fleet.clone(), checks.clone(), outcome.clone()));
+    rollout(&fleet, &checks, seed, show).await?;
+    drain(&fleet, &checks, &outcome, show).await?;
+    empty_bookings(&fleet, &checks, show).await?;
+    stop_entry(&fleet, &checks, &outcome, show).await?;
+    outcome.stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await;
+    }
+    sampler.await;
+    check_runs(&fleet, &checks, &barred);
+    show(&format!(
+        "{} completions answered, {} refused; {} bookings ran, {} answers unknown, {} barred",
+        outcome.answered.load(Ordering::Relaxed),
+        outcome.refused.load(Ordering::Relaxed),
+        outcome.booked.load(Ordering::Relaxed),
+        outcome.unknown.load(Ordering::Relaxed),
+        barred.keys().len(),
+    ));
+    Ok(checks)
+}
+
+fn start_callers(
+    fleet: &Arc<Fleet>,
+    checks: &Checks,
+    outcome: &Arc<Outcome>,
+    barred: &Arc<Barred>,
+) -> Vec<smol::Task<()>> {
+    let completions = (0..COMPLETION_CALLERS).map(|caller| {
+        rt::spawn(load::completions(
+            fleet.clone(),
+            checks.clone(),
+            outcome.clone(),
+            caller,
+        ))
+    });
+    let bookings = (0..BOOKING_CALLERS).map(|caller| {
+        rt::spawn(load::bookings(
+            fleet.clone(),
+            checks.clone(),
+            outcome.clone(),
+            barred.clone(),
+            caller,
+        ))
+    });
+    completions.chain(bookings).collect()
+}
+
+/// Checks that no process ever goes back to a lower revision.
+async fn sample(fleet: Arc<Fleet>, checks: Checks, outcome: Arc<Outcome>) {
+    let mut last: Vec<Stamp> = Vec::new();
+    while !outcome.stop.load(Ordering::Relaxed) {
+        let now = fleet.stamps();
+        for (index, (old, new)) in last.iter().zip(&now).enumerate() {
+            let detail = || format!("process {index}: {old:?} to {new:?}");
+            checks.check(Promise::P7, new >= old, detail);
+        }
+        last = now;
+        smol::Timer::after(SAMPLE).await;
+    }
+}
+
+/// Waits until the last revision is in force everywhere and checks the time.
+async fn in_force(fleet: &Fleet, checks: &Checks) -> f64 {
+    let begin = Instant::now();
+    while !fleet.is_in_force() && begin.elapsed() < IN_FORCE_LIMIT {
+        smol::Timer::after(Duration::from_millis(2)).await;
+    }
+    let held = fleet.is_in_force();
+    checks.check(Promise::P7, held, || "not in force within 13 s".to_string());
+    begin.elapsed().as_secs_f64()
+}
+
+async fn rollout(fleet: &Fleet, checks: &Checks, seed: u64, show: Show<'_>) -> Result<()> {
+    let before = fleet.origin.sent();
+    fleet.new_version(seed + 1);
+    fleet.publish(&[]);
+    let force = in_force(fleet, checks).await;
+    let begin = Instant::now();
+    fleet.until_serving(STEP_LIMIT).await?;
+    let seconds = begin.elapsed().as_secs_f64() + force;
+    let copies = (fleet.origin.sent() - before) as f64 / fleet.weights_len() as f64;
+    show(&format!(
+        "version 2 in force after {force:.3} s, on all engines after {seconds:.2} s, \
+         {copies:.2} copies drawn from the origin"
+    ));
+    Ok(())
+}
+
+/// Empties an engine by table change while streams run on it, then refills it.
+async fn drain(
+    fleet: &Arc<Fleet>,
+    checks: &Checks,
+    outcome: &Arc<Outcome>,
+    show: Show<'_>,
+) -> Result<()> {
+    let streams = start_streams(fleet, checks, outcome);
+    smol::Timer::after(Duration::from_millis(100)).await;
+    let name = fleet.agents[0].name.clone();
+    let engine = fleet.agents[0].engine.clone();
+    fleet.publish(&[&name]);
+    in_force(fleet, checks).await;
+    smol::Timer::after(LEAVING_LIMIT).await;
+    let begun = engine.started();
+    finish_streams(streams, checks, "drain").await;
+    smol::Timer::after(Duration::from_millis(500)).await;
+    let later = engine.started();
+    let detail = || format!("{name}: {} new requests", later - begun);
+    checks.check(Promise::P5, later == begun, detail);
+    fleet.publish(&[]);
+    in_force(fleet, checks).await;
+    fleet.until_serving(STEP_LIMIT).await?;
+    show(&format!(
+        "{name} drained with streams running, then refilled"
+    ));
+    Ok(())
+}
+
+fn start_streams(
+    fleet: &Arc<Fleet>,
+    checks: &Checks,
+    outcome: &Arc<Outcome>,
+) -> Vec<smol::Task<bool>> {
+    let start = |index: usize| {
+        let fleet = fleet.clone();
+        let checks = checks.clone();
+        let outcome = outcome.clone();
+        rt::spawn(async move {
+            let addr = fleet.entries[index % fleet.entries.len()].http;
+            let prompt = format!("stream {index}");
+            load::complete(&fleet, &checks, &outcome, addr, &prompt, STREAM_TOKENS).await
+        })
+    };
+    (0..12).map(start).collect()
+}
+
+async fn finish_streams(streams: Vec<smol::Task<bool>>, checks: &Checks, step: &str) {
+    for stream in streams {
+        let is_whole = stream.await;
+        checks.check(Promise::P6, is_whole, || {
+            format!("{step}: a stream broke off")
+        });
+    }
+}
+
+/// Empties all of the booking pool: bookings must be refused as not run.
+async fn empty_bookings(fleet: &Fleet, checks: &Checks, show: Show<'_>) -> Result<()> {
+    let names: Vec<String> = fleet.services().iter().map(|vm| vm.name.clone()).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    fleet.publish(&names);
+    in_force(fleet, checks).await;
+    smol::Timer::after(LEAVING_LIMIT).await;
+    let begun: u64 = fleet.services().iter().map(|vm| vm.engine.started()).sum();
+    smol::Timer::after(Duration::from_millis(500)).await;
+    let later: u64 = fleet.services().iter().map(|vm| vm.engine.started()).sum();
+    let detail = || format!("booking: {} new requests", later - begun);
+    checks.check(Promise::P5, later == begun, detail);
+    fleet.publish(&[]);
+    in_force(fleet, checks).await;
+    fleet.until_serving(STEP_LIMIT).await?;
+    show("booking pool emptied and refilled");
+    Ok(())
+}
+
+/// Stops one entry with streams running through it.
+async fn stop_entry(
+    fleet: &Arc<Fleet>,
+    checks: &Checks,
+    outcome: &Arc<Outcome>,
+    show: Show<'_>,
+) -> Result<()> {
+    let streams = start_streams(fleet, checks, outcome);
+    smol::Timer::after(Duration::from_millis(100)).await;
+    fleet.stop_entry(fleet.entries.len() - 1).await;
+    finish_streams(streams, checks, "entry stop").await;
+    show("one entry stopped with streams running");
+    Ok(())
+}
+
+/// Compares what callers were told with what the services ran.
+fn check_runs(fleet: &Fleet, checks: &Checks, barred: &Barred) {
+    let mut runs: IndexMap<String, u64> = IndexMap::new();
+    for vm in fleet.services() {
+        for (key, count) in vm.engine.runs() {
+            *runs.entry(key).or_default() += count;
+        }
+    }
+    for (key, count) in runs.iter().filter(|(key, _)| !key.is_empty()) {
+        checks.check(Promise::P4, *count == 1, || {
+            format!("{key} ran {count} times")
+        });
+    }
+    for key in barred.keys() {
+        let count = runs.get(&key).copied().unwrap_or(0);
+        checks.check(Promise::P3, count == 0, || {
+            format!("{key} ran {count} times")
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bench;
 pub mod cmd;
 pub mod config;
+pub mod demo;
 pub mod entry;
 pub mod error;
 pub mod gate;
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
     Bench(cmd::bench::Args),
     Check(cmd::check::Args),
     Codes(cmd::codes::Args),
+    Demo(cmd::demo::Args),
     Explain(cmd::explain::Args),
     Standin(cmd::standin::Args),
 }
@@ -40,6 +41,7 @@
         Command::Bench(args) => cmd::bench::run(args),
         Command::Check(args) => cmd::check::run(args),
         Command::Codes(args) => cmd::codes::run(args),
+        Command::Demo(args) => cmd::demo::run(args),
         Command::Explain(args) => cmd::explain::run(args),
         Command::Standin(args) => cmd::standin::run(args),
     };
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -67,6 +67,7 @@
     loading: bool,
     running: usize,
     loads: u64,
+    started: u64,
     slow: u64,
     runs: IndexMap<String, u64>,
     fail_loads: u64,
@@ -135,6 +136,11 @@
         self.lock().runs.clone()
     }
 
+    /// Requests received so far, orders and reports not counted.
+    pub fn started(&self) -> u64 {
+        self.lock().started
+    }
+
     /// Digest of the loaded version; empty when none.
     pub fn loaded(&self) -> String {
         self.lock().digest.clone()
@@ -168,8 +174,14 @@
                 let runs = self.runs();
                 standin::json(StatusCode::OK, &json!(runs))
             }
-            (Method::POST, "/v1/completions") => self.complete(request).await,
-            _ => self.service(request).await,
+            (Method::POST, "/v1/completions") => {
+                self.lock().started += 1;
+                self.complete(request).await
+            }
+            _ => {
+                self.lock().started += 1;
+                self.service(request).await
+            }
         }
     }
 
