gate: Admit requests for the version held

Admission compared the digest of a request with the pool's. While a pool is reloaded in turns, upstreams that still hold the version before would have refused the entries that ask for exactly that version. Only the engine's confirmed, whole version counts now.

The ledger can bar a key whose request was never written.

--- a/src/gate/admit.rs
+++ b/src/gate/admit.rs
@@ -25,8 +25,6 @@
     pub pool: String,
     /// Model of the pool; empty for services.
     pub model: String,
-    /// Manifest digest that the pool names; empty for services.
-    pub digest: String,
     /// Revision of the tables.
     pub revision: u64,
     /// True when a plain service without weights is behind the agent.
@@ -41,7 +39,7 @@
     pub pool: String,
     /// Model of that pool.
     pub model: String,
-    /// Manifest digest of that pool.
+    /// Manifest digest of the version wanted.
     pub digest: String,
     /// Table revision of the entry.
     pub revision: u64,
@@ -207,9 +205,9 @@
         self.running
     }
 
-    /// True when a request of the pool in force could be admitted.
+    /// True when a request of the pool in force for the version held could be admitted.
     pub fn is_serving(&self) -> bool {
-        let ready = |own: &Own| self.unfit(&own.digest, own.service).is_none();
+        let ready = |own: &Own| self.unfit(&self.whole, own.service).is_none();
         !self.stale && self.leaving.is_none() && self.own.as_ref().is_some_and(ready)
     }
 
@@ -232,8 +230,9 @@
         let Some(own) = &self.own else {
             return Verdict::Refuse(Code::TablesMissing);
         };
-        let same = own.pool == ask.pool && own.model == ask.model && own.digest == ask.digest;
-        if !same {
+        // The digest is that of the version held, which may be the one before the
+        // pool's while the pool is reloaded in turns.
+        if own.pool != ask.pool || own.model != ask.model {
             return Verdict::Refuse(Code::VersionMismatch);
         }
         if let Some(code) = self.unfit(&ask.digest, own.service) {
--- a/src/once/ledger.rs
+++ b/src/once/ledger.rs
@@ -231,6 +231,12 @@
         Some(answer)
     }
 
+    /// Bars a running key whose request was never written to the upstream.
+    pub fn withdraw(&mut self, ticket: &Ticket) {
+        assert_eq!(self.peek(ticket), Some(&State::Running), "withdraw");
+        self.set(ticket, State::Barred);
+    }
+
     /// Records that the outcome of a running key is not known and never will be.
     pub fn lose(&mut self, ticket: &Ticket) {
         assert_eq!(self.peek(ticket), Some(&State::Running), "lose");
