--- a/src/main.rs
+++ b/src/main.rs
@@ -15,9 +15,11 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Bench(cmd::bench::Args),
     Check(cmd::check::Args),
     Codes(cmd::codes::Args),
     Explain(cmd::explain::Args),
+    Standin(cmd::standin::Args),
 }
 
 fn main() -> ExitCode {
@@ -35,9 +37,11 @@
         }
     };
     let result = match &args.command {
+        Command::Bench(args) => cmd::bench::run(args),
         Command::Check(args) => cmd::check::run(args),
         Command::Codes(args) => cmd::codes::run(args),
         Command::Explain(args) => cmd::explain::run(args),
+        Command::Standin(args) => cmd::standin::run(args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("chervilquay: {error:#}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,8 @@
     reason = "each test file uses a part"
 )]
 
+pub mod system;
+
 use std::path::Path;
 use std::path::PathBuf;
 
