--- a/src/main.rs
+++ b/src/main.rs
@@ -18,8 +18,10 @@
     Bench(cmd::bench::Args),
     Check(cmd::check::Args),
     Codes(cmd::codes::Args),
+    Dump(cmd::dump::Args),
     Explain(cmd::explain::Args),
     Standin(cmd::standin::Args),
+    Status(cmd::status::Args),
 }
 
 fn main() -> ExitCode {
@@ -40,8 +42,10 @@
         Command::Bench(args) => cmd::bench::run(args),
         Command::Check(args) => cmd::check::run(args),
         Command::Codes(args) => cmd::codes::run(args),
+        Command::Dump(args) => cmd::dump::run(args),
         Command::Explain(args) => cmd::explain::run(args),
         Command::Standin(args) => cmd::standin::run(args),
+        Command::Status(args) => cmd::status::run(args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("chervilquay: {error:#}");
