metric: Record metrics with cadence and serve them at /metrics

Processes had no metrics. One table in src/metric names each metric with its kind, unit, tag and meaning; docs/metrics.md is checked against it. Entry and agent record outcomes and times; gauges are set from the dump when they are read.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -161,7 +161,7 @@
         if request.uri().path().starts_with("/v2/") {
             return self.weights.answer(request);
         }
-        admin::answer(request, || self.dump())
+        admin::answer(&self.node, request, || self.dump())
     }
 
     /// The whole state, for operators.
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -14,6 +14,7 @@
 use smol::future::FutureExt;
 
 use crate::agent::Agent;
+use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client::Client;
@@ -143,6 +144,8 @@
         Err(Error::new(Code::DeadlineExceeded, "at the agent").with_run(Run::Unknown))
     };
     let ended = work.or(late).or(gone).await;
+    let code = ended.as_ref().err().map(|error| error.code);
+    agent.node.metrics.outcome(Metric::AttemptTotal, code);
     if let Err(error) = ended {
         slog::debug!(agent.node.log, "serve: failed"; "error" => %error);
         frames.fail(&agent, error).await;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -11,6 +11,7 @@
 use crate::entry::answer;
 use crate::entry::attempt;
 use crate::entry::attempt::Job;
+use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client;
@@ -24,14 +25,19 @@
 
 /// Answers one request of a caller.
 pub async fn handle(entry: Entry, request: Request<Incoming>) -> Response<BoxBody> {
-    let job = match read(&entry, request).await {
-        Ok(job) => job,
-        Err(error) => return answer::problem(&error),
-    };
-    match attempt::run(entry, job).await {
-        Ok(response) => response,
-        Err(error) => answer::problem(&error),
-    }
+    let node = entry.node.clone();
+    let begin = node.clock.now();
+    let result = run(entry, request).await;
+    let code = result.as_ref().err().map(|error| error.code);
+    node.metrics.outcome(Metric::RequestTotal, code);
+    let span = node.clock.now().since(begin);
+    node.metrics.time(Metric::RequestTime, span);
+    result.unwrap_or_else(|error| answer::problem(&error))
+}
+
+async fn run(entry: Entry, request: Request<Incoming>) -> Result<Response<BoxBody>> {
+    let job = read(&entry, request).await?;
+    attempt::run(entry, job).await
 }
 
 async fn read(entry: &Entry, request: Request<Incoming>) -> Result<Job> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -90,7 +90,7 @@
             stop,
             move |request: Request<Incoming>| {
                 let entry = self.clone();
-                async move { admin::answer(&request, || entry.dump()) }
+                async move { admin::answer(&entry.node, &request, || entry.dump()) }
             },
         )
         .await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod log;
 pub mod macros;
+pub mod metric;
 pub mod net;
 pub mod node;
 pub mod once;
--- /dev/null
+++ b/src/metric/mod.rs
@@ -0,0 +1,160 @@
+//! Metrics: their names and units, and the client that records them.
+
+pub mod registry;
+
+use std::sync::Arc;
+
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::Histogrammed;
+use cadence::StatsdClient;
+
+use crate::common;
+use crate::error::Code;
+use crate::time::Millis;
+
+pub use registry::Registry;
+
+/// First part of every name.
+pub const PREFIX: &str = "chervilquay";
+
+common! { key
+/// How a metric's values are put together.
+pub enum Kind {
+    /// Sum of increments.
+    Counter,
+    /// Last value.
+    Gauge,
+    /// Number, sum and greatest of values.
+    Histogram,
+}
+}
+
+macro_rules! metrics {
+    ($($name:ident = $text:literal, $kind:ident, $unit:literal, $tag:literal, $meaning:literal;)*) => {
+        common! { key
+        /// Every metric of the system; docs/metrics.md lists them.
+        pub enum Metric { $(#[doc = $meaning] $name,)* }
+        }
+
+        impl Metric {
+            /// Every metric in the order of the page.
+            pub const ALL: &'static [Metric] = &[$(Metric::$name),*];
+
+            /// Name without the prefix.
+            pub const fn name(self) -> &'static str {
+                match self { $(Metric::$name => $text,)* }
+            }
+
+            /// How values are put together.
+            pub const fn kind(self) -> Kind {
+                match self { $(Metric::$name => Kind::$kind,)* }
+            }
+
+            /// Unit of the values.
+            pub const fn unit(self) -> &'static str {
+                match self { $(Metric::$name => $unit,)* }
+            }
+
+            /// Name of its tag; empty when it has none.
+            pub const fn tag(self) -> &'static str {
+                match self { $(Metric::$name => $tag,)* }
+            }
+
+            /// One-line meaning.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Metric::$name => $meaning,)* }
+            }
+        }
+    };
+}
+
+metrics! {
+    RequestTotal = "request.total", Counter, "requests", "code", "requests that ended at an entry, by result code, 0 for an answer";
+    RequestTime = "request.time_ms", Histogram, "ms", "", "time from a request's head to the start of its answer at an entry";
+    RequestRunning = "request.running", Gauge, "requests", "", "requests in progress at this process";
+    AttemptTotal = "attempt.total", Counter, "attempts", "code", "attempts that ended at an agent, by result code, 0 for an answer";
+    TableRevision = "table.revision", Gauge, "revision", "", "revision of the set in force, 0 for none";
+    TableRefused = "table.refused", Gauge, "sets", "", "1 while newer tables are refused, else 0";
+    WeightsHeld = "weights.held_bytes", Gauge, "bytes", "", "bytes of verified chunks in memory";
+    Uptime = "process.uptime_ms", Gauge, "ms", "", "time since the process started";
+}
+
+/// Records metrics into the process's registry; clones share it.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let registry = Registry::default();
+        Metrics {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, registry.clone())),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Adds to a counter without tag.
+    pub fn count(&self, metric: Metric, by: u64) {
+        assert_eq!((metric.kind(), metric.tag()), (Kind::Counter, ""));
+        let _ = self.client.count(metric.name(), by);
+    }
+
+    /// Counts one outcome; none is success.
+    pub fn outcome(&self, metric: Metric, code: Option<Code>) {
+        assert_eq!((metric.kind(), metric.tag()), (Kind::Counter, "code"));
+        let number = code.map_or(0, Code::number).to_string();
+        let counter = self.client.count_with_tags(metric.name(), 1_u64);
+        counter.with_tag(metric.tag(), &number).send();
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, metric: Metric, value: u64) {
+        assert_eq!(metric.kind(), Kind::Gauge);
+        let _ = self.client.gauge(metric.name(), value);
+    }
+
+    /// Adds one value to a histogram of times.
+    pub fn time(&self, metric: Metric, span: Millis) {
+        assert_eq!((metric.kind(), metric.unit()), (Kind::Histogram, "ms"));
+        let _ = self.client.histogram(metric.name(), span.0);
+    }
+
+    /// All values as text in the Prometheus exposition format.
+    pub fn text(&self) -> String {
+        self.registry.text()
+    }
+}
+
+/// The page docs/metrics.md.
+pub fn markdown() -> String {
+    let mut text = INTRODUCTION.to_string();
+    text.push_str("\n| name | kind | unit | tag | meaning |\n|---|---|---|---|---|\n");
+    for metric in Metric::ALL {
+        let kind = format!("{:?}", metric.kind()).to_lowercase();
+        let tag = if metric.tag().is_empty() {
+            "-"
+        } else {
+            metric.tag()
+        };
+        text.push_str(&format!(
+            "| `{PREFIX}.{}` | {kind} | {} | {tag} | {} |\n",
+            metric.name(),
+            metric.unit(),
+            metric.meaning()
+        ));
+    }
+    text
+}
+
+const INTRODUCTION: &str = "# Metrics
+
+Each process records the metrics below in memory and serves them at `GET /metrics` on its admin
+address, in the Prometheus text format. There, dots of a name become underscores, and a histogram is
+given as `_count`, `_sum` and `_max`. Values start at zero with the process. A metric that has not
+been recorded yet is not served. The page is checked against src/metric by a test.
+";
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -8,13 +8,23 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 
+use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::node::Node;
 
 /// Answers an operator's request; `dump` gives the whole state.
-pub fn answer(request: &Request<Incoming>, dump: impl Fn() -> Value) -> Response<BoxBody> {
+pub fn answer(
+    node: &Node,
+    request: &Request<Incoming>,
+    dump: impl Fn() -> Value,
+) -> Response<BoxBody> {
     match request.uri().path() {
         "/dump" => json(&dump()),
+        "/metrics" => {
+            gauges(node, &dump());
+            Response::new(body::full(node.metrics.text()))
+        }
         "/healthz" => Response::new(body::full("ok\n")),
         _ => {
             let mut response = Response::new(body::full("no such path\n"));
@@ -24,6 +34,24 @@
     }
 }
 
+/// Sets the gauges from the same state that operators see in the dump.
+fn gauges(node: &Node, dump: &Value) {
+    let running = match dump["flights"].as_object() {
+        Some(flights) => flights.values().filter_map(Value::as_u64).sum(),
+        None => dump["gate"]["running"].as_u64().unwrap_or(0),
+    };
+    let uptime = node.clock.now().since(node.clock.started());
+    let is_refusing = node.view.refused().is_some();
+    let metrics = &node.metrics;
+    metrics.set(Metric::RequestRunning, running);
+    metrics.set(Metric::TableRevision, node.view.stamp().revision);
+    metrics.set(Metric::TableRefused, u64::from(is_refusing));
+    metrics.set(Metric::Uptime, uptime.0);
+    if let Some(bytes) = dump["weights"]["bytes"].as_u64() {
+        metrics.set(Metric::WeightsHeld, bytes);
+    }
+}
+
 fn json(value: &Value) -> Response<BoxBody> {
     let mut response = Response::new(body::full(format!("{value:#}\n")));
     let kind = HeaderValue::from_static("application/json");
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 use slog::Logger;
 
 use crate::config;
+use crate::metric::Metrics;
 use crate::net::rpc::Channels;
 use crate::prelude::*;
 
@@ -27,6 +28,8 @@
     pub channels: Channels,
     /// Tables in force.
     pub view: View,
+    /// Metrics of the process.
+    pub metrics: Metrics,
 }
 
 impl Node {
@@ -38,6 +41,7 @@
             log,
             channels: Channels::default(),
             view: View::default(),
+            metrics: Metrics::default(),
         }
     }
 }
