--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod log;
 pub mod macros;
+pub mod metric;
 pub mod net;
 pub mod node;
 pub mod once;
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,8 +19,10 @@
     Check(cmd::check::Args),
     Codes(cmd::codes::Args),
     Demo(cmd::demo::Args),
+    Dump(cmd::dump::Args),
     Explain(cmd::explain::Args),
     Standin(cmd::standin::Args),
+    Status(cmd::status::Args),
 }
 
 fn main() -> ExitCode {
@@ -42,8 +44,10 @@
         Command::Check(args) => cmd::check::run(args),
         Command::Codes(args) => cmd::codes::run(args),
         Command::Demo(args) => cmd::demo::run(args),
+        Command::Dump(args) => cmd::dump::run(args),
         Command::Explain(args) => cmd::explain::run(args),
         Command::Standin(args) => cmd::standin::run(args),
+        Command::Status(args) => cmd::status::run(args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("chervilquay: {error:#}");
