rollout: Add the decision core for transfers

Cause: agents need to fill each other with weights without drawing a copy for each VM from the origin.

Change: manifest, bounded chunk store, rendezvous ranks, budgets, planner and the source side, all without I/O. A pull names every chunk that would do and the source picks the one it sent least, so ChunkRequest gets `wanted` and ChunkPart the chosen digest.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
     reason = "generated code"
 )]
 pub mod proto;
+pub mod rollout;
 pub mod table;
 pub mod time;
 pub mod util;
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -174,6 +174,7 @@
     #[prost(uint32, tag = "12")]
     pub load_failures: u32,
 }
+/// Asks for the chunk `digest` or, when it is empty, for any one of `wanted`.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChunkRequest {
     /// Chunk digest, `sha256:...`.
@@ -181,6 +182,9 @@
     pub digest: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub wait_ms: u64,
+    /// First eight bytes, big-endian, of the digests of chunks that would do.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub wanted: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChunkPart {
@@ -191,6 +195,9 @@
     pub length: u64,
     #[prost(bytes = "vec", tag = "3")]
     pub data: ::prost::alloc::vec::Vec<u8>,
+    /// Digest of the chunk that the source chose; set in the first part.
+    #[prost(string, tag = "4")]
+    pub digest: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Notice {
