--- /dev/null
+++ b/tests/rollout_load.rs
@@ -0,0 +1,342 @@
+//! Randomised runs of the load state machine of a whole pool.
+
+use chervilquay::prelude::*;
+use chervilquay::rollout::Digest;
+use chervilquay::rollout::load::Action;
+use chervilquay::rollout::load::Engine;
+use chervilquay::rollout::load::Event;
+use chervilquay::rollout::load::Loader;
+use chervilquay::rollout::load::Outcome;
+use chervilquay::rollout::turn::Pool;
+use chervilquay::rollout::turn::View;
+
+const SEEDS: u64 = 200;
+const STEPS: usize = 10_000;
+const AGENTS: usize = 6;
+const MAX_OUT: u32 = 2;
+const MIN_SERVING: u32 = 3;
+const SPREAD: u64 = 1_000;
+
+/// An agent with its engine.
+struct Node {
+    loader: Loader,
+    engine: Engine,
+    /// Order on its way or being carried out, and when it ends.
+    order: Option<(Digest, u64, u64)>,
+    reads: Vec<(u64, u64, Engine)>,
+    running: usize,
+    serves: Option<Digest>,
+    revision: u64,
+    wants: Vec<(u64, Digest, u64)>,
+    loads: u32,
+}
+
+struct Fleet {
+    now: u64,
+    rng: fastrand::Rng,
+    nodes: Vec<Node>,
+    views: Vec<Vec<Option<View>>>,
+    versions: Vec<Digest>,
+    fence: u64,
+    lossy: bool,
+    broken: Option<Digest>,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let versions: Vec<_> = ["a", "b", "c"].into_iter().map(Digest::of).collect();
+        let node = |index: usize| Node {
+            loader: Loader::new(format!("agent-{index}")),
+            engine: Engine {
+                loaded: Some(versions[0]),
+                loading: false,
+                fence: 0,
+            },
+            order: None,
+            reads: Vec::new(),
+            running: 0,
+            serves: None,
+            revision: 1,
+            wants: Vec::new(),
+            loads: 0,
+        };
+        let nodes = (0..AGENTS).map(node).collect();
+        let mut fleet = Fleet {
+            now: 10_000,
+            rng: fastrand::Rng::with_seed(seed),
+            nodes,
+            views: vec![vec![None; AGENTS]; AGENTS],
+            versions: versions.clone(),
+            fence: 1,
+            lossy: true,
+            broken: None,
+        };
+        for index in 0..AGENTS {
+            fleet.event(index, Event::Whole(versions.clone()));
+            fleet.event(index, Event::Want(Some(versions[0]), 1));
+        }
+        fleet
+    }
+
+    fn event(&mut self, index: usize, event: Event) {
+        let mut out = Vec::new();
+        let now = Millis(self.now);
+        self.nodes[index].loader.on_event(now, event, &mut out);
+        self.act(index, out);
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            let delay = self.rng.u64(1..300);
+            let lost = self.lossy && self.rng.u8(..) < 25;
+            let node = &mut self.nodes[index];
+            match action {
+                Action::Read(id) if !lost => {
+                    // The state is taken now and arrives late.
+                    node.reads.push((self.now + delay, id, node.engine));
+                }
+                Action::Read(_) => {}
+                Action::Load(version, fence) => {
+                    assert_eq!(node.running, 0, "order while requests run");
+                    assert!(node.order.is_none(), "second order outstanding");
+                    assert!(fence >= node.engine.fence, "fence went down");
+                    node.loads += 1;
+                    node.engine.loading = true;
+                    node.engine.fence = fence;
+                    node.order = Some((version, fence, self.now + 10 * delay));
+                }
+                Action::Close => node.serves = None,
+                Action::Open(version) => {
+                    assert_eq!(
+                        node.engine.loaded,
+                        Some(version),
+                        "opened for other weights"
+                    );
+                    assert!(!node.engine.loading, "opened while loading");
+                    node.serves = Some(version);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += self.rng.u64(1..40);
+        let index = self.rng.usize(..AGENTS);
+        match self.rng.u8(..10) {
+            0..3 => self.engine(index),
+            3..5 => self.report(index),
+            5 => self.hear(index),
+            6 => self.requests(index),
+            7 if self.lossy && self.rng.u8(..) < 8 => self.publish(),
+            8 if self.lossy && self.rng.u8(..) < 8 => self.event(index, Event::Doubt),
+            _ => {
+                let mut out = Vec::new();
+                self.nodes[index].loader.tick(Millis(self.now), &mut out);
+                self.act(index, out);
+            }
+        }
+    }
+
+    fn engine(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if let Some((version, _, end)) = node.order
+            && end <= self.now
+        {
+            node.order = None;
+            node.engine.loading = false;
+            let fails = self.broken == Some(version);
+            node.engine.loaded = (!fails).then_some(version);
+            let outcome = match self.rng.u8(..3) {
+                0 => Outcome::Unknown,
+                _ if fails => Outcome::Failed,
+                _ => Outcome::Done,
+            };
+            self.event(index, Event::Ordered(outcome));
+            return;
+        }
+        let due = node.reads.iter().position(|(at, ..)| *at <= self.now);
+        if let Some(due) = due {
+            let (_, id, engine) = node.reads.swap_remove(due);
+            self.event(index, Event::Engine(id, engine));
+        }
+    }
+
+    /// Some agents hear the state of `index`; others keep an older view.
+    fn report(&mut self, index: usize) {
+        let loader = &self.nodes[index].loader;
+        let view = View {
+            revision: self.nodes[index].revision,
+            loaded: self.nodes[index].engine.loaded,
+            serving: loader.serving().is_some(),
+            failures: loader.failures(),
+            seen: Millis(self.now),
+        };
+        for other in (0..AGENTS).filter(|o| *o != index) {
+            if self.lossy && self.rng.u8(..) < 80 {
+                continue;
+            }
+            self.views[other][index] = Some(view.clone());
+            let name = |i: usize| (format!("agent-{i}"), self.views[other][i].clone());
+            let pool = Pool {
+                views: (0..AGENTS).filter(|i| *i != other).map(name).collect(),
+                max_out: MAX_OUT,
+                min_serving: MIN_SERVING,
+                revision: self.nodes[other].revision,
+            };
+            self.event(other, Event::Pool(pool));
+        }
+    }
+
+    fn requests(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.running = match node.serves {
+            Some(_) if node.running < 3 => node.running + 1,
+            _ => node.running.saturating_sub(1),
+        };
+        let running = node.running;
+        self.event(index, Event::Running(running));
+    }
+
+    fn publish(&mut self) {
+        self.fence += 1;
+        let version = self.versions[self.rng.usize(..self.versions.len())];
+        self.want(version);
+    }
+
+    fn want(&mut self, version: Digest) {
+        for index in 0..AGENTS {
+            // Tables spread to agents at different times.
+            let at = self.now + self.rng.u64(1..SPREAD);
+            self.nodes[index].wants.push((at, version, self.fence));
+        }
+    }
+
+    fn hear(&mut self, index: usize) {
+        let wants = &mut self.nodes[index].wants;
+        let due = wants.iter().position(|(at, ..)| *at <= self.now);
+        let Some((_, version, fence)) = due.map(|d| wants.remove(d)) else {
+            return;
+        };
+        let node = &mut self.nodes[index];
+        node.revision = node.revision.max(fence);
+        self.event(index, Event::Want(Some(version), fence));
+    }
+
+    fn serving(&self) -> usize {
+        self.nodes.iter().filter(|n| n.serves.is_some()).count()
+    }
+
+    fn all_on(&self, version: Digest) -> bool {
+        self.nodes.iter().all(|n| n.serves == Some(version))
+    }
+
+    fn run_until_on(&mut self, version: Digest) {
+        for _ in 0..STEPS * 10 {
+            if self.all_on(version) {
+                return;
+            }
+            self.step();
+        }
+        panic!("version is not in service everywhere");
+    }
+}
+
+// Guards against a second order, an order while requests run and a gate that
+// opens for other weights, under lost reads, late reports and table changes.
+#[test]
+fn orders_stay_fenced() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        for _ in 0..STEPS {
+            fleet.step();
+        }
+        fleet.lossy = false;
+        fleet.fence += 1;
+        let version = fleet.versions[1];
+        fleet.want(version);
+        fleet.run_until_on(version);
+    }
+}
+
+// Guards against two agents that leave together because neither has heard of
+// the other: reports are lost and late, but no agent fails.
+#[test]
+fn keeps_min_serving() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.lossy = false;
+        fleet.run_until_on(fleet.versions[0]);
+        for round in 1..8 {
+            fleet.fence += 1;
+            let version = fleet.versions[round % 3];
+            fleet.want(version);
+            // Half of the rounds change the table again in mid-rollout.
+            let most = if fleet.rng.bool() {
+                STEPS * 10
+            } else {
+                STEPS / 20
+            };
+            for _ in 0..most {
+                if fleet.all_on(version) {
+                    break;
+                }
+                fleet.lossy = fleet.rng.bool();
+                fleet.step_calm();
+                let serving = fleet.serving();
+                assert!(
+                    serving >= MIN_SERVING as usize,
+                    "seed {seed}: {serving} serve"
+                );
+                assert!(
+                    serving + MAX_OUT as usize >= AGENTS,
+                    "seed {seed}: too many out"
+                );
+            }
+            assert!(
+                most < STEPS || fleet.all_on(version),
+                "seed {seed}: rollout did not end"
+            );
+        }
+    }
+}
+
+// Guards against a broken version that takes the whole pool down: two failed
+// loads end its spread, and engines that lost their version get it back.
+#[test]
+fn broken_version_stops() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.lossy = false;
+        let old = fleet.versions[0];
+        fleet.run_until_on(old);
+        fleet.broken = Some(fleet.versions[2]);
+        fleet.fence += 1;
+        fleet.want(fleet.versions[2]);
+        for _ in 0..STEPS {
+            fleet.step();
+            assert!(fleet.serving() >= MIN_SERVING as usize, "seed {seed}");
+        }
+        let loads: u32 = fleet.nodes.iter().map(|n| n.loads).sum();
+        assert!(loads <= 8, "seed {seed}: {loads} loads of a broken version");
+        assert!(fleet.all_on(old), "seed {seed}: old version is not back");
+    }
+}
+
+impl Fleet {
+    /// A step without table changes and doubts.
+    fn step_calm(&mut self) {
+        self.now += self.rng.u64(1..40);
+        let index = self.rng.usize(..AGENTS);
+        match self.rng.u8(..8) {
+            0..3 => self.engine(index),
+            3..5 => self.report(index),
+            5 => self.hear(index),
+            6 => self.requests(index),
+            _ => {
+                let mut out = Vec::new();
+                self.nodes[index].loader.tick(Millis(self.now), &mut out);
+                self.act(index, out);
+            }
+        }
+    }
+}
