--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,18 @@
 //! Weight distribution for model upstreams that must be filled in bursts under live load.
 
+pub mod agent;
 pub mod arena;
+pub mod bench;
+pub mod cmd;
 pub mod config;
+pub mod entry;
 pub mod error;
+pub mod gate;
 pub mod log;
 pub mod macros;
 pub mod net;
+pub mod node;
+pub mod once;
 pub mod prelude;
 #[expect(
     missing_docs,
@@ -15,6 +22,8 @@
 )]
 pub mod proto;
 pub mod rollout;
+pub mod standin;
 pub mod table;
 pub mod time;
 pub mod util;
+pub mod yaml;
