--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod retry;
 pub mod route;
 pub mod sched;
+pub mod rollout;
 pub mod standin;
 pub mod table;
 pub mod time;
