table: Add spread of sets by delta and membership

Cause: each process needs the latest accepted set and a view of the fleet without shared state and without every process reading the platform.

Membership joins tables, live list, the agent's own word and progress on the links.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod log;
 pub mod macros;
+pub mod member;
 pub mod net;
 pub mod prelude;
 #[expect(
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,13 @@
+//! Membership: live list, incarnations, suspicion, and the join of sources.
+
+pub mod incarnation;
+pub mod live;
+pub mod progress;
+pub mod standing;
+
+pub use incarnation::Incarnation;
+pub use live::Live;
+pub use live::Vm;
+pub use progress::Progress;
+pub use standing::Members;
+pub use standing::Standing;
--- /dev/null
+++ b/src/member/standing.rs
@@ -0,0 +1,127 @@
+//! Join of the sources that say something about an upstream.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+
+use crate::common;
+use crate::member::incarnation::Incarnation;
+use crate::member::live::Live;
+use crate::member::progress::Progress;
+use crate::table::Set;
+
+/// Reports of upstreams kept; more are refused until the table drops some.
+const MAX_REPORTS: usize = 4_096;
+
+common! { key
+/// What an upstream is, by the strongest source that speaks of it.
+///
+/// Variants stand in order of precedence, strongest first.
+pub enum Standing {
+    /// Its own agent says that it leaves.
+    OwnLeaving,
+    /// The table drains it.
+    TableDrain,
+    /// The live list says that it leaves.
+    LiveLeaving,
+    /// The table lists it.
+    Listed,
+    /// Only the live list knows it; it belongs to no pool.
+    LiveOnly,
+    /// No list knows it, and work given to it makes no progress.
+    Suspect,
+    /// Nothing is known of it.
+    Unknown,
+}
+}
+
+impl Standing {
+    /// True when it must get no new work.
+    pub fn is_leaving(self) -> bool {
+        self <= Standing::LiveLeaving
+    }
+
+    /// True when it may get new work.
+    pub fn may_serve(self) -> bool {
+        self == Standing::Listed
+    }
+}
+
+/// What an agent said of itself.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    incarnation: Incarnation,
+    leaving: bool,
+}
+
+/// What upstreams say of themselves, joined with tables and live list.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    reports: IndexMap<String, Report>,
+}
+
+impl Members {
+    /// Takes an agent's report of itself; false when it is an older
+    /// incarnation's or there is no room.
+    ///
+    /// Leaving is final for one incarnation: a late report that it does not
+    /// leave was sent before.
+    pub fn report(&mut self, name: &str, incarnation: Incarnation, leaving: bool) -> bool {
+        let Some(held) = self.reports.get_mut(name) else {
+            if self.reports.len() >= MAX_REPORTS {
+                return false;
+            }
+            let report = Report {
+                incarnation,
+                leaving,
+            };
+            self.reports.insert(name.to_string(), report);
+            return true;
+        };
+        if held.incarnation.replaces(incarnation) {
+            return false;
+        }
+        let same = held.incarnation == incarnation;
+        let left = same && held.leaving;
+        *held = Report {
+            incarnation,
+            leaving: leaving || left,
+        };
+        true
+    }
+
+    /// Forgets reports of upstreams that neither list knows.
+    pub fn retain(&mut self, set: &Set, live: &Live) {
+        self.reports
+            .retain(|name, _| set.upstream(name).is_some() || live.vms.contains_key(name));
+    }
+
+    /// The latest incarnation that reported under this name.
+    pub fn incarnation(&self, name: &str) -> Option<Incarnation> {
+        self.reports.get(name).map(|report| report.incarnation)
+    }
+
+    /// Standing of the upstream `name`, strongest source first.
+    pub fn standing(&self, name: &str, set: Option<&Set>, live: &Live) -> Standing {
+        if self.reports.get(name).is_some_and(|r| r.leaving) {
+            return Standing::OwnLeaving;
+        }
+        let listed = set.and_then(|set| set.upstream(name));
+        let vm = live.vms.get(name);
+        match (listed, vm) {
+            (Some((_, _, upstream)), _) if upstream.drain => Standing::TableDrain,
+            (_, Some(vm)) if vm.leaving => Standing::LiveLeaving,
+            (Some(_), _) => Standing::Listed,
+            (None, Some(_)) => Standing::LiveOnly,
+            (None, None) => Standing::Unknown,
+        }
+    }
+
+    /// Standing with what the links say, which no stronger source yields to.
+    pub fn with_links(standing: Standing, addr: SocketAddr, progress: &Progress) -> Standing {
+        if standing == Standing::Unknown && progress.is_suspect(addr) {
+            return Standing::Suspect;
+        }
+        standing
+    }
+}
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -1,8 +1,10 @@
 //! Routes and pools: the two tables that operators write, and their join.
 
+pub mod delta;
 pub mod doc;
 pub mod join;
 pub mod matcher;
+pub mod sync;
 
 pub use doc::PoolsDoc;
 pub use doc::RoutesDoc;
