--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,3 @@
+//! Benchmarks and long randomised runs, as library code.
+
+pub mod tables;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Weight distribution for model upstreams that must be filled in bursts under live load.
 
 pub mod arena;
+pub mod bench;
 pub mod config;
 pub mod error;
 pub mod log;
