--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log;
 pub mod macros;
 pub mod metric;
+pub mod member;
 pub mod net;
 pub mod node;
 pub mod once;
