agent: Wire admission, ledger, drain and suspects

A booking runs in a task of its own that outlives its sender; further sends attach to it or get the recorded outcome. Admission asks the platform again when the entry has newer tables or the time has jumped, and checks each request again at dispatch. A stop is bounded: requests that outlive the drain time end with an explicit error, where the stop waited for ever before. A reading of the engine's state that began before a mismatch no longer opens the gate, and a load no longer starts while requests run beyond the drain time. One attempt of each fingerprint reports a crash.

The frames of an answer move into a file of their own.

--- /dev/null
+++ b/src/agent/frames.rs
@@ -0,0 +1,159 @@
+//! Frames of one answer on their way to the entry.
+
+use hyper::body::Incoming;
+use smol::channel::Sender;
+
+use crate::agent::Agent;
+use crate::agent::booking;
+use crate::agent::guard;
+use crate::agent::serve::is_end_to_end;
+use crate::once::Answer;
+use crate::once::Print;
+use crate::prelude::*;
+use crate::proto;
+use crate::proto::frame::Kind as FrameKind;
+use crate::util;
+
+/// Channel to the stream of one attempt.
+pub type FrameSender = Sender<std::result::Result<proto::Frame, tonic::Status>>;
+
+/// Numbers and sends the frames of one answer.
+pub struct Frames {
+    print: Print,
+    request: String,
+    attempt: u32,
+    seq: u64,
+    length: u64,
+    sender: FrameSender,
+}
+
+impl Frames {
+    /// The frames of the answer to `request`.
+    pub fn new(request: &proto::ServeRequest, sender: FrameSender) -> Frames {
+        Frames {
+            print: booking::print(request),
+            request: request.request.clone(),
+            attempt: request.attempt,
+            seq: 0,
+            length: 0,
+            sender,
+        }
+    }
+
+    /// Fingerprint of the request.
+    pub fn print(&self) -> Print {
+        self.print
+    }
+
+    /// Sends the head of an answer of the upstream.
+    pub async fn head(&mut self, agent: &Agent, response: &http::Response<Incoming>) -> Result<()> {
+        let headers = response
+            .headers()
+            .iter()
+            .filter(|(name, _)| is_end_to_end(name.as_str()))
+            .map(|(name, value)| proto::Header {
+                name: name.to_string(),
+                value: value.as_bytes().to_vec(),
+            })
+            .collect();
+        let head = proto::Head {
+            status: u32::from(response.status().as_u16()),
+            headers,
+            load: Some(agent.gate.load()),
+        };
+        self.send(FrameKind::Head(head)).await
+    }
+
+    /// Sends a recorded answer whole.
+    pub async fn recorded(&mut self, agent: &Agent, answer: &Answer) -> Result<()> {
+        for kind in recorded_kinds(agent, answer) {
+            self.send(kind).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends a part of the body.
+    pub async fn data(&mut self, data: Bytes) -> Result<()> {
+        self.length += data.len() as u64;
+        self.send(FrameKind::Data(data.to_vec())).await
+    }
+
+    /// Ends the answer cleanly.
+    pub async fn done(&mut self) -> Result<()> {
+        let length = self.length;
+        self.send(FrameKind::Done(proto::Done { length })).await
+    }
+
+    /// Ends the answer with an error.
+    pub async fn fail(&mut self, agent: &Agent, error: Error) {
+        let run = match (error.run, self.seq) {
+            (Run::NotRun, _) => proto::Run::NotRun,
+            (_, 0) => proto::Run::Unknown,
+            _ => proto::Run::Partial,
+        };
+        let crashed = error.code == Code::UpstreamLost;
+        let attempt = u64::from(self.attempt) ^ util::stable_hash([self.request.as_str()]);
+        if crashed {
+            // Closes admission until the engine answers again.
+            agent.loaded.doubt();
+        }
+        let fail = proto::Fail {
+            code: error.code.number(),
+            run: run.into(),
+            detail: error.detail,
+            retry_after_ms: error.retry.unwrap_or_default().0,
+            revision: agent.node.view.stamp().revision,
+            crashed: crashed && guard::crashed(agent, self.print, attempt),
+        };
+        let _ = self.send(FrameKind::Fail(fail)).await;
+    }
+
+    async fn send(&mut self, kind: FrameKind) -> Result<()> {
+        let frame = proto::Frame {
+            request: self.request.clone(),
+            attempt: self.attempt,
+            seq: self.seq,
+            kind: Some(kind),
+        };
+        self.seq += 1;
+        self.sender
+            .send(Ok(frame))
+            .await
+            .map_err(|_| Error::new(Code::Cancelled, "entry has gone").with_run(Run::Unknown))
+    }
+}
+
+/// Largest part of a recorded answer in one frame, in bytes.
+const PART_LEN: usize = 256 << 10;
+
+fn recorded_kinds(agent: &Agent, answer: &Answer) -> Vec<FrameKind> {
+    let headers = answer.headers.iter().map(|(name, value)| proto::Header {
+        name: name.clone(),
+        value: value.clone(),
+    });
+    let head = proto::Head {
+        status: u32::from(answer.status),
+        headers: headers.collect(),
+        load: Some(agent.gate.load()),
+    };
+    let parts = answer.body.chunks(PART_LEN);
+    let data = parts.map(|part| FrameKind::Data(part.to_vec()));
+    let length = answer.body.len() as u64;
+    let done = FrameKind::Done(proto::Done { length });
+    [FrameKind::Head(head)]
+        .into_iter()
+        .chain(data)
+        .chain([done])
+        .collect()
+}
+
+/// Frames of a recorded answer, for [`proto::ResolveReply`].
+pub fn recorded_frames(agent: &Agent, answer: &Answer) -> Vec<proto::Frame> {
+    let kinds = recorded_kinds(agent, answer).into_iter();
+    let frames = kinds.zip(0..).map(|(kind, seq)| proto::Frame {
+        seq,
+        kind: Some(kind),
+        ..proto::Frame::default()
+    });
+    frames.collect()
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,6 +1,9 @@
 //! The agent: sole gate to the upstream on its VM.
 
+pub mod booking;
 pub mod engine;
+pub mod frames;
+pub mod guard;
 pub mod load;
 pub mod rpc;
 pub mod serve;
@@ -15,7 +18,9 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
+use crate::agent::booking::Runs;
 use crate::agent::engine::Engine;
+use crate::agent::guard::Guard;
 use crate::agent::load::Loaded;
 use crate::agent::serve::Gate;
 use crate::agent::weights::Weights;
@@ -27,6 +32,7 @@
 use crate::node::Node;
 use crate::node::admin;
 use crate::node::platform;
+use crate::once::Secret;
 use crate::prelude::*;
 use crate::proto::agent_server::AgentServer;
 use crate::proto::peer_server::PeerServer;
@@ -49,6 +55,12 @@
     pub loaded: Loaded,
     /// Requests in progress.
     pub gate: Gate,
+    /// Admission, ledger, drain and suspects.
+    pub guard: Guard,
+    /// Running calls that may not be repeated.
+    pub runs: Runs,
+    /// Key with which tickets are signed.
+    pub secret: Secret,
 }
 
 /// Random low bits of an incarnation, so that two starts in one millisecond differ.
@@ -79,8 +91,12 @@
         let node = Node::new(settings.node.clone(), log);
         let start = node.clock.started().0;
         let random = fastrand::u64(0..1 << INCARNATION_BITS);
+        let incarnation = (start << INCARNATION_BITS) | random;
         Agent {
-            incarnation: (start << INCARNATION_BITS) | random,
+            incarnation,
+            guard: Guard::new(&node.settings.name, incarnation, node.clock.now()),
+            runs: Runs::default(),
+            secret: Secret::new(&node.settings.secret),
             engine: Arc::new(Engine::new(settings.upstream)),
             weights: Weights::new(settings.staging_mb << 20),
             loaded: Loaded::default(),
@@ -112,22 +128,22 @@
         let (closer, closed) = channel::bounded::<()>(1);
         let watch = rt::spawn(platform::watch(self.node.clone()));
         let keep = rt::spawn(load::keep(self.clone()));
+        let tick = rt::spawn(guard::keep(self.clone()));
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed.clone()));
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed));
         slog::info!(self.node.log, "agent: started"; "rpc" => %self.node.settings.rpc);
         let _ = stop.recv().await;
         self.finish(closer).await;
         rpc_task.await;
-        drop((admin_task, keep, watch));
+        drop((admin_task, keep, watch, tick));
         Ok(())
     }
 
     /// Stops admission at once and waits for running requests, up to the pool's drain time.
     async fn finish(&self, closer: Sender<()>) {
         self.gate.close();
-        let limit = self.duty().map_or(30, |d| d.drain_s);
-        slog::info!(self.node.log, "agent: draining"; "limit_s" => limit);
-        self.gate.idle(Millis(limit * 1_000)).await;
+        slog::info!(self.node.log, "agent: draining"; "running" => self.gate.running());
+        guard::stop(self).await;
         drop(closer);
     }
 
@@ -181,6 +197,8 @@
             "loaded": self.loaded.digest(),
             "weights": self.weights.dump(),
             "gate": self.gate.dump(),
+            "guard": self.guard.dump(),
+            "suspects": self.node.suspects.len(),
         })
     }
 }
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -9,6 +9,7 @@
 use tonic::Status;
 
 use crate::agent::Agent;
+use crate::agent::booking;
 use crate::agent::serve;
 use crate::net::rpc::to_status;
 use crate::net::rt;
@@ -54,9 +55,10 @@
 
     async fn resolve(
         &self,
-        _request: Request<proto::ResolveRequest>,
+        request: Request<proto::ResolveRequest>,
     ) -> std::result::Result<Response<proto::ResolveReply>, Status> {
-        Ok(Response::new(proto::ResolveReply::default()))
+        let ticket = request.into_inner().ticket;
+        Ok(Response::new(booking::resolve(&self.agent, &ticket)))
     }
 
     async fn cancel(
@@ -81,7 +83,7 @@
             revision: agent.node.view.stamp().revision,
             serving: digest.is_some(),
             digest: digest.unwrap_or_default(),
-            leaving: agent.gate.is_closed(),
+            leaving: agent.guard.is_leaving(),
             load: Some(agent.gate.load()),
             ..proto::StateReply::default()
         }))
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -10,16 +10,18 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
-use smol::channel::Sender;
 use smol::future::FutureExt;
 
 use crate::agent::Agent;
+use crate::agent::booking;
+use crate::agent::frames::FrameSender;
+use crate::agent::frames::Frames;
+use crate::agent::guard;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client::Client;
 use crate::prelude::*;
 use crate::proto;
-use crate::proto::frame::Kind as FrameKind;
 use crate::table::doc::Kind;
 
 /// Largest event of an engine's stream, in bytes.
@@ -28,8 +30,6 @@
 /// When a caller may come back after a refusal for lack of room.
 const BUSY_RETRY: Millis = Millis(500);
 
-type FrameSender = Sender<std::result::Result<proto::Frame, tonic::Status>>;
-
 #[derive(Debug, Default)]
 struct State {
     running: usize,
@@ -95,7 +95,13 @@
         json!({ "running": state.running, "closed": state.closed, "limit": self.limit })
     }
 
-    fn enter(&self) -> Result<Pass> {
+    /// Requests in progress.
+    pub fn running(&self) -> usize {
+        self.lock().running
+    }
+
+    /// Counts a request until the returned value is dropped.
+    pub fn enter(&self) -> Result<Pass> {
         let mut state = self.lock();
         if state.closed {
             return Err(Error::new(Code::UpstreamLeaving, "agent is stopping"));
@@ -115,7 +121,8 @@
 }
 
 /// One request in progress.
-struct Pass {
+#[derive(Debug)]
+pub struct Pass {
     gate: Gate,
 }
 
@@ -128,21 +135,19 @@
 
 /// Admits, runs and answers one attempt; dropping the reader cancels it.
 pub async fn run(agent: Agent, request: proto::ServeRequest, sender: FrameSender) {
-    let mut frames = Frames {
-        request: request.request.clone(),
-        attempt: request.attempt,
-        seq: 0,
-        length: 0,
-        sender,
-    };
+    let mut frames = Frames::new(&request, sender.clone());
     let limit = Duration::from_millis(request.remaining_ms);
-    let gone = frames_closed(frames.sender.clone());
+    let gone = frames_closed(sender);
     let work = attempt(&agent, request, &mut frames);
+    let stopped = async {
+        agent.guard.aborted().await;
+        Err(Error::new(Code::UpstreamLeaving, "drain time is over").with_run(Run::Unknown))
+    };
     let late = async {
         smol::Timer::after(limit).await;
         Err(Error::new(Code::DeadlineExceeded, "at the agent").with_run(Run::Unknown))
     };
-    let ended = work.or(late).or(gone).await;
+    let ended = work.or(late).or(gone).or(stopped).await;
     if let Err(error) = ended {
         slog::debug!(agent.node.log, "serve: failed"; "error" => %error);
         frames.fail(&agent, error).await;
@@ -156,16 +161,21 @@
 }
 
 async fn attempt(agent: &Agent, request: proto::ServeRequest, frames: &mut Frames) -> Result<()> {
-    let kind = admit(agent, &request)?;
+    if !request.ticket.is_empty() {
+        return booking::run(agent, request, frames).await;
+    }
+    let permit = guard::admit(agent, &request).await?;
     let _pass = agent.gate.enter()?;
-    // The state may have changed between the check and the entry into the gate.
-    admit(agent, &request)?;
     let expected = request.digest.clone();
-    let answer = agent.engine.forward(engine_request(agent, request)?).await;
+    let message = engine_request(agent, request)?;
+    // The state may have changed since the request was admitted.
+    let _active = guard::dispatch(agent, &permit, frames.print())?;
+    let kind = agent.duty().map_or(Kind::Engine, |d| d.kind);
+    let answer = agent.engine.forward(message).await.map_err(broken);
     let (response, kept) = Client::split(answer?);
     if kind == Kind::Engine && response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // The engine has lost its weights since its last report.
-        agent.loaded.set(None);
+        agent.loaded.doubt();
         return Err(Error::new(Code::VersionMismatch, "engine refused"));
     }
     let is_error = !response.status().is_success();
@@ -180,35 +190,12 @@
         (Kind::Engine, false) => copy_whole(agent, body, &expected, frames).await?,
     }
     agent.engine.give_back(kept);
+    guard::succeeded(agent, &frames.print());
     frames.done().await
 }
 
-/// Refuses a request that does not match what this agent serves.
-fn admit(agent: &Agent, request: &proto::ServeRequest) -> Result<Kind> {
-    let Some(duty) = agent.duty() else {
-        return Err(Error::new(Code::VersionMismatch, "agent is in no pool"));
-    };
-    if duty.drain {
-        return Err(Error::new(
-            Code::UpstreamLeaving,
-            "table drains this upstream",
-        ));
-    }
-    if duty.pool != request.pool || duty.model != request.model {
-        return Err(Error::new(
-            Code::VersionMismatch,
-            format!("pool {}", duty.pool),
-        ));
-    }
-    let loaded = agent.loaded.digest();
-    if loaded.as_ref() != Some(&request.digest) {
-        let detail = format!("loaded {}", loaded.unwrap_or_default());
-        return Err(Error::new(Code::VersionMismatch, detail));
-    }
-    Ok(duty.kind)
-}
-
-fn engine_request(agent: &Agent, request: proto::ServeRequest) -> Result<Request<BoxBody>> {
+/// The request as the upstream gets it.
+pub fn engine_request(agent: &Agent, request: proto::ServeRequest) -> Result<Request<BoxBody>> {
     let mut builder = Request::builder()
         .method(request.method.as_str())
         .uri(request.path.as_str())
@@ -229,10 +216,19 @@
         .unwrap_or_default()
 }
 
-fn lost(error: impl std::fmt::Display) -> Error {
+/// The upstream broke off while it ran a request.
+pub fn lost(error: impl std::fmt::Display) -> Error {
     Error::new(Code::UpstreamLost, error.to_string()).with_run(Run::Unknown)
 }
 
+/// A failed send: the upstream broke off, unless nothing was written to it.
+pub fn broken(error: Error) -> Error {
+    match error.run {
+        Run::NotRun => error,
+        _ => lost(error.detail),
+    }
+}
+
 async fn copy(mut body: Incoming, frames: &mut Frames) -> Result<()> {
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.map_err(lost)?.into_data() {
@@ -291,7 +287,7 @@
         return Ok(());
     }
     // The engine runs other weights than it reported: admit nothing until it is reread.
-    agent.loaded.set(None);
+    agent.loaded.doubt();
     let detail = format!("answer from {}", value["system_fingerprint"]);
     Err(Error::new(Code::AnswerMismatch, detail).with_run(Run::Unknown))
 }
@@ -307,73 +303,18 @@
     frames.data(bytes).await
 }
 
-/// Numbers and sends the frames of one answer.
-struct Frames {
-    request: String,
-    attempt: u32,
-    seq: u64,
-    length: u64,
-    sender: FrameSender,
-}
-
-impl Frames {
-    async fn head(&mut self, agent: &Agent, response: &http::Response<Incoming>) -> Result<()> {
-        let headers = response
-            .headers()
-            .iter()
-            .filter(|(name, _)| is_end_to_end(name.as_str()))
-            .map(|(name, value)| proto::Header {
-                name: name.to_string(),
-                value: value.as_bytes().to_vec(),
-            })
-            .collect();
-        let head = proto::Head {
-            status: u32::from(response.status().as_u16()),
-            headers,
-            load: Some(agent.gate.load()),
-        };
-        self.send(FrameKind::Head(head)).await
-    }
-
-    async fn data(&mut self, data: Bytes) -> Result<()> {
-        self.length += data.len() as u64;
-        self.send(FrameKind::Data(data.to_vec())).await
-    }
-
-    async fn done(&mut self) -> Result<()> {
-        let length = self.length;
-        self.send(FrameKind::Done(proto::Done { length })).await
+/// Checks the fingerprints of an answer that has been read whole.
+pub fn check_whole(agent: &Agent, body: &[u8], digest: &str) -> Result<()> {
+    if !body.starts_with(b"data:") {
+        return check_fingerprint(agent, body, digest);
     }
-
-    async fn fail(&mut self, agent: &Agent, error: Error) {
-        let run = match (error.run, self.seq) {
-            (Run::NotRun, _) => proto::Run::NotRun,
-            (_, 0) => proto::Run::Unknown,
-            _ => proto::Run::Partial,
-        };
-        let fail = proto::Fail {
-            code: error.code.number(),
-            run: run.into(),
-            detail: error.detail,
-            retry_after_ms: error.retry.unwrap_or_default().0,
-            revision: agent.node.view.stamp().revision,
-            crashed: error.code == Code::UpstreamLost,
-        };
-        let _ = self.send(FrameKind::Fail(fail)).await;
+    let mut is_done = false;
+    for event in String::from_utf8_lossy(body).split("\n\n") {
+        is_done |= check_event(agent, event.as_bytes(), digest)?;
     }
-
-    async fn send(&mut self, kind: FrameKind) -> Result<()> {
-        let frame = proto::Frame {
-            request: self.request.clone(),
-            attempt: self.attempt,
-            seq: self.seq,
-            kind: Some(kind),
-        };
-        self.seq += 1;
-        self.sender
-            .send(Ok(frame))
-            .await
-            .map_err(|_| Error::new(Code::Cancelled, "entry has gone").with_run(Run::Unknown))
+    match is_done {
+        true => Ok(()),
+        false => Err(lost("stream ended early")),
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 pub mod peer;
 pub mod platform;
 pub mod signal;
+pub mod suspects;
 pub mod view;
 
 use slog::Logger;
@@ -12,6 +13,7 @@
 use crate::net::rpc::Channels;
 use crate::prelude::*;
 
+pub use suspects::Suspects;
 pub use view::View;
 
 /// Identity, clock and connections of a process; clones share them.
@@ -27,6 +29,8 @@
     pub channels: Channels,
     /// Tables in force.
     pub view: View,
+    /// Requests that crashed upstreams.
+    pub suspects: Suspects,
 }
 
 impl Node {
@@ -38,6 +42,7 @@
             log,
             channels: Channels::default(),
             view: View::default(),
+            suspects: Suspects::default(),
         }
     }
 }
--- a/src/node/peer.rs
+++ b/src/node/peer.rs
@@ -27,6 +27,7 @@
             zone: self.node.settings.zone.clone(),
             revision: stamp.revision,
             digest: stamp.digest,
+            suspects: self.node.suspects.export(self.node.clock.now()),
             ..proto::Notice::default()
         }
     }
@@ -36,8 +37,13 @@
 impl Peer for PeerService {
     async fn exchange(
         &self,
-        _request: Request<proto::Notice>,
+        request: Request<proto::Notice>,
     ) -> Result<Response<proto::Notice>, Status> {
+        let notice = request.into_inner();
+        let now = self.node.clock.now();
+        self.node
+            .suspects
+            .merge(now, &notice.from, &notice.suspects);
         Ok(Response::new(self.notice()))
     }
 
--- a/src/once/ledger.rs
+++ b/src/once/ledger.rs
@@ -214,21 +214,19 @@
         }
     }
 
-    /// Records the answer of a running key.
-    pub fn finish(&mut self, ticket: &Ticket, answer: Answer) -> Option<Arc<Answer>> {
+    /// Records the answer of a running key; one that is too large is not kept.
+    pub fn finish(&mut self, ticket: &Ticket, answer: Arc<Answer>) {
         assert_eq!(self.peek(ticket), Some(&State::Running), "finish");
         let size = answer.size();
         if size > self.limits.answer.min(self.limits.bytes) {
             self.set(ticket, State::Done(None));
-            return None;
+            return;
         }
         self.make_room(size);
-        let answer = Arc::new(answer);
-        self.set(ticket, State::Done(Some(answer.clone())));
+        self.set(ticket, State::Done(Some(answer)));
         self.answers.push_back(id(ticket));
         self.bytes += size;
         assert!(self.bytes <= self.limits.bytes, "answers over their bound");
-        Some(answer)
     }
 
     /// Bars a running key whose request was never written to the upstream.
--- a/tests/once_ledger.rs
+++ b/tests/once_ledger.rs
@@ -26,12 +26,12 @@
     }
 }
 
-fn answer(size: usize) -> Answer {
-    Answer {
+fn answer(size: usize) -> Arc<Answer> {
+    Arc::new(Answer {
         status: 200,
         headers: Vec::new(),
         body: Bytes::from(vec![1; size]),
-    }
+    })
 }
 
 fn run(ledger: &mut Ledger, ticket: &Ticket, size: usize) {
@@ -52,9 +52,9 @@
     assert!(ledger.dispatch(&ticket));
     let again = ledger.claim(START, &ticket, PRINT);
     assert_eq!(again, Claim::Known(State::Running));
-    let kept = ledger.finish(&ticket, answer(3)).unwrap();
+    ledger.finish(&ticket, answer(3));
     let again = ledger.claim(START, &ticket, PRINT);
-    assert_eq!(again, Claim::Known(State::Done(Some(kept))));
+    assert_eq!(again, Claim::Known(State::Done(Some(answer(3)))));
     assert_eq!(ledger.claim(START, &ticket, [2; 32]), Claim::Other);
 }
 
--- a/tests/once_random.rs
+++ b/tests/once_random.rs
@@ -772,7 +772,7 @@
         if let Some(ticket) = &work.serve.ticket
             && self.off != Some(Rule::Record)
         {
-            agent.ledger.finish(ticket, answer);
+            agent.ledger.finish(ticket, Arc::new(answer));
         }
         self.answer_all(&work, reply);
         self.pump(index);
