--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 use slog::Logger;
 
 use crate::config;
+use crate::metric::Metrics;
 use crate::net::rpc::Channels;
 use crate::prelude::*;
 
@@ -31,6 +32,8 @@
     pub view: View,
     /// Requests that crashed upstreams.
     pub suspects: Suspects,
+    /// Metrics of the process.
+    pub metrics: Metrics,
 }
 
 impl Node {
@@ -43,6 +46,7 @@
             channels: Channels::default(),
             view: View::default(),
             suspects: Suspects::default(),
+            metrics: Metrics::default(),
         }
     }
 }
