--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,4 @@
-//! Experiments on the real code over loopback.
+//! Benchmarks, experiments over loopback and long randomised runs, as library code.
 
 pub mod fleet;
-//! Benchmarks and long randomised runs, as library code.
-
 pub mod tables;
