--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 pub mod peer;
 pub mod platform;
 pub mod signal;
+pub mod suspects;
 pub mod view;
 
 use slog::Logger;
@@ -13,6 +14,7 @@
 use crate::net::rpc::Channels;
 use crate::prelude::*;
 
+pub use suspects::Suspects;
 pub use view::View;
 
 /// Identity, clock and connections of a process; clones share them.
@@ -28,6 +30,8 @@
     pub channels: Channels,
     /// Tables in force.
     pub view: View,
+    /// Requests that crashed upstreams.
+    pub suspects: Suspects,
     /// Metrics of the process.
     pub metrics: Metrics,
 }
@@ -41,6 +45,7 @@
             log,
             channels: Channels::default(),
             view: View::default(),
+            suspects: Suspects::default(),
             metrics: Metrics::default(),
         }
     }
