entry: Bring tickets, Resolve and suspects into the path

Callers get tickets at POST /chervilquay/tickets, in the 428 answer to a key that is no ticket, and with each "not run". A call with a ticket goes to the agent that it names; after a lost link the entry asks that agent with Resolve, which bars the key if it has not run. Only the owner's word counts for "not run". Requests that crashed two upstreams are refused.

Requests that arrived at an agent during a pause longer than their remaining time are refused, because they may have waited for all of it.

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -14,9 +14,11 @@
 const DEFAULT_RETRY: Millis = Millis(1_000);
 
 /// The answer for a request that ended in an error before its head was sent.
-pub fn problem(error: &Error) -> Response<BoxBody> {
+///
+/// `ticket` is a fresh one for a call that was not run.
+pub fn problem(error: &Error, ticket: Option<&str>) -> Response<BoxBody> {
     let status = StatusCode::from_u16(error.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let value = json!({
+    let mut value = json!({
         "type": "about:blank",
         "title": error.code.text(),
         "status": status.as_u16(),
@@ -24,6 +26,9 @@
         "code": error.code.number(),
         "run": error.run.as_str(),
     });
+    if let Some(ticket) = ticket {
+        value["ticket"] = ticket.into();
+    }
     let mut response = Response::new(body::full(value.to_string()));
     *response.status_mut() = status;
     let headers = response.headers_mut();
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -16,6 +16,7 @@
 use crate::net::body::BoxBody;
 use crate::net::rpc;
 use crate::net::rt;
+use crate::once::Print;
 use crate::prelude::*;
 use crate::proto;
 use crate::proto::frame::Kind as FrameKind;
@@ -49,6 +50,8 @@
     pub headers: Vec<proto::Header>,
     /// Body, whole.
     pub body: Bytes,
+    /// Fingerprint for the table of suspects.
+    pub print: Print,
 }
 
 /// An attempt whose answer has started.
@@ -95,7 +98,8 @@
     entry.flights.pick(pool, &entry.node.settings.zone, tried)
 }
 
-fn message(entry: &Entry, job: &Job, attempt: u32) -> Result<proto::ServeRequest> {
+/// The message of one attempt, from the tables in force.
+pub fn message(entry: &Entry, job: &Job, attempt: u32) -> Result<proto::ServeRequest> {
     let Some(set) = entry.node.view.get() else {
         return Err(Error::new(Code::TablesMissing, "no tables"));
     };
@@ -143,7 +147,7 @@
                 flight,
                 attempt,
             }),
-            Some(FrameKind::Fail(fail)) => Err(failure(&fail)),
+            Some(FrameKind::Fail(fail)) => Err(failed(entry, job, attempt, &fail)),
             _ => Err(invalid("answer starts without a head")),
         }
     };
@@ -172,13 +176,22 @@
 }
 
 /// Refuses a frame that belongs to another request or is out of sequence.
-fn check(job: &Job, attempt: u32, seq: u64, frame: &proto::Frame) -> Result<()> {
+pub fn check(job: &Job, attempt: u32, seq: u64, frame: &proto::Frame) -> Result<()> {
     if frame.request != job.id || frame.attempt != attempt || frame.seq != seq {
         return Err(invalid("frame of another answer"));
     }
     Ok(())
 }
 
+/// The error that an agent reports; counts a crash of its engine.
+pub fn failed(entry: &Entry, job: &Job, attempt: u32, fail: &proto::Fail) -> Error {
+    if fail.crashed {
+        let now = entry.node.clock.now();
+        entry.node.suspects.crash(now, job.print, &job.id, attempt);
+    }
+    failure(fail)
+}
+
 fn failure(fail: &proto::Fail) -> Error {
     let code = Code::from_number(fail.code).unwrap_or(Code::ProtocolInvalid);
     let run = match fail.run() {
@@ -218,7 +231,7 @@
         sender.closed().await;
         Err(Error::new(Code::Cancelled, "caller has gone"))
     };
-    let ended = pump(&job, &mut started, &sender)
+    let ended = pump(&entry, &job, &mut started, &sender)
         .or(expire(remaining))
         .or(gone)
         .await;
@@ -231,6 +244,7 @@
 
 /// Copies frames to the caller; only a `Done` of the right length ends the body cleanly.
 async fn pump(
+    entry: &Entry,
     job: &Job,
     started: &mut Started,
     sender: &Sender<Result<Option<Bytes>>>,
@@ -248,10 +262,16 @@
                 sender.send(Ok(Some(data.into()))).await.map_err(gone)?;
             }
             Some(FrameKind::Done(done)) if done.length == length => {
+                entry
+                    .node
+                    .suspects
+                    .success(entry.node.clock.now(), &job.print);
                 return sender.send(Ok(None)).await.map_err(gone);
             }
             Some(FrameKind::Done(_)) => return Err(invalid("answer has another length")),
-            Some(FrameKind::Fail(fail)) => return Err(failure(&fail)),
+            Some(FrameKind::Fail(fail)) => {
+                return Err(failed(entry, job, started.attempt, &fail));
+            }
             _ => return Err(invalid("unexpected frame")),
         }
     }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -11,12 +11,16 @@
 use crate::entry::answer;
 use crate::entry::attempt;
 use crate::entry::attempt::Job;
+use crate::entry::booking;
+use crate::entry::booking::Denied;
+use crate::gate::suspect;
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client;
 use crate::prelude::*;
 use crate::proto;
+use crate::table::doc::Repeat;
 use crate::table::matcher;
 use crate::table::matcher::Query;
 
@@ -28,16 +32,58 @@
     let node = entry.node.clone();
     let begin = node.clock.now();
     let result = run(entry, request).await;
-    let code = result.as_ref().err().map(|error| error.code);
+    let code = result.as_ref().err().map(|denied| denied.error.code);
     node.metrics.outcome(Metric::RequestTotal, code);
     let span = node.clock.now().since(begin);
     node.metrics.time(Metric::RequestTime, span);
-    result.unwrap_or_else(|error| answer::problem(&error))
+    result.unwrap_or_else(|denied| answer::problem(&denied.error, denied.ticket.as_deref()))
 }
 
-async fn run(entry: Entry, request: Request<Incoming>) -> Result<Response<BoxBody>> {
+async fn run(
+    entry: Entry,
+    request: Request<Incoming>,
+) -> std::result::Result<Response<BoxBody>, Denied> {
+    if request.uri().path() == booking::TICKETS {
+        return Ok(ticket(&entry, request).await?);
+    }
+    let key = header(request.headers(), booking::KEY);
     let job = read(&entry, request).await?;
-    attempt::run(entry, job).await
+    let key = key.filter(|_| job.route.repeat == Repeat::Never);
+    let blocked = entry
+        .node
+        .suspects
+        .blocked(entry.node.clock.now(), &job.print);
+    if let Some(after) = blocked {
+        let error = Error::new(Code::RequestBlocked, "in this zone").with_retry(after);
+        // An earlier send with the same key may have run.
+        let run = key.map_or(Run::NotRun, |_| Run::Unknown);
+        return Err(error.with_run(run).into());
+    }
+    match key {
+        Some(key) => booking::run(&entry, &job, &key).await,
+        None => Ok(attempt::run(entry, job).await?),
+    }
+}
+
+async fn ticket(entry: &Entry, request: Request<Incoming>) -> Result<Response<BoxBody>> {
+    if request.method() != http::Method::POST {
+        return Err(Error::new(Code::RequestMalformed, "use POST"));
+    }
+    let organisation = header(request.headers(), ORGANISATION).unwrap_or_default();
+    let sent = read_body(entry, request.into_body()).await?;
+    booking::tickets(entry, &organisation, &sent).await
+}
+
+fn header(headers: &http::HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_string)
+}
+
+async fn read_body(entry: &Entry, incoming: Incoming) -> Result<Bytes> {
+    let limit = Duration::from_millis(entry.settings.head_ms);
+    let reading = body::read(incoming, entry.settings.max_body);
+    client::timeout(limit, Code::HeaderTooSlow, reading)
+        .await
+        .map_err(|e| e.with_run(Run::NotRun))
 }
 
 async fn read(entry: &Entry, request: Request<Incoming>) -> Result<Job> {
@@ -45,10 +91,7 @@
     let Some(set) = entry.node.view.get() else {
         return Err(Error::new(Code::TablesMissing, "entry has just started"));
     };
-    let header = |name: &str| {
-        let value = parts.headers.get(name)?;
-        value.to_str().ok().map(str::to_string)
-    };
+    let header = |name: &str| header(&parts.headers, name);
     let organisation = header(ORGANISATION).unwrap_or_default();
     let query = Query {
         method: parts.method.as_str(),
@@ -60,11 +103,11 @@
         return Err(Error::new(Code::RouteUnknown, detail));
     };
     let (route_name, route) = (route_name.to_string(), route.clone());
-    let limit = Duration::from_millis(entry.settings.head_ms);
-    let reading = body::read(incoming, entry.settings.max_body);
-    let sent = client::timeout(limit, Code::HeaderTooSlow, reading)
-        .await
-        .map_err(|e| e.with_run(Run::NotRun))?;
+    let sent = read_body(entry, incoming).await?;
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| "/".to_string(), ToString::to_string);
     let headers = parts
         .headers
         .iter()
@@ -80,12 +123,10 @@
         route_name,
         deadline: now.plus(Millis(route.deadline_ms)),
         route,
+        print: suspect::print(&organisation, parts.method.as_str(), &path, &sent),
         organisation,
         method: parts.method.to_string(),
-        path: parts
-            .uri
-            .path_and_query()
-            .map_or_else(|| "/".to_string(), ToString::to_string),
+        path,
         headers,
         body: sent,
     })
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod booking;
 pub mod http;
 pub mod pick;
 
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use crate::config::EntrySettings;
+use crate::entry::booking::Owners;
 use crate::entry::pick::Flights;
 use crate::net::rt;
 use crate::net::server;
@@ -21,6 +23,7 @@
 use crate::node::Node;
 use crate::node::admin;
 use crate::node::platform;
+use crate::once::Secret;
 use crate::prelude::*;
 use crate::proto::peer_server::PeerServer;
 
@@ -33,6 +36,10 @@
     pub settings: Arc<EntrySettings>,
     /// Requests in flight to each upstream.
     pub flights: Flights,
+    /// Addresses of agents that tickets name.
+    pub owners: Owners,
+    /// Key with which tickets are signed.
+    pub secret: Secret,
 }
 
 impl Entry {
@@ -40,6 +47,8 @@
     pub fn new(settings: EntrySettings, log: slog::Logger) -> Entry {
         Entry {
             node: Node::new(settings.node.clone(), log),
+            owners: Owners::default(),
+            secret: Secret::new(&settings.node.secret),
             flights: Flights::default(),
             settings: Arc::new(settings),
         }
@@ -107,6 +116,7 @@
             "zone": settings.zone,
             "tables": { "revision": stamp.revision, "digest": stamp.digest, "refused": refused },
             "flights": self.flights.dump(),
+            "suspects": self.node.suspects.len(),
         })
     }
 }
--- a/src/gate/admit.rs
+++ b/src/gate/admit.rs
@@ -97,6 +97,8 @@
     ordering: bool,
     leaving: Option<Millis>,
     stale: bool,
+    /// Length of the pause after which the view became stale.
+    pause: Millis,
     running: usize,
     last: Millis,
 }
@@ -180,12 +182,15 @@
     pub fn refreshed(&mut self, now: Millis) {
         self.last = now;
         self.stale = false;
+        self.pause = Millis(0);
     }
 
     /// Notes the time; a large step makes the view stale.
     pub fn observe(&mut self, now: Millis) {
-        if now.since(self.last) > MAX_STEP {
+        let step = now.since(self.last);
+        if step > MAX_STEP {
             self.stale = true;
+            self.pause = self.pause.max(step);
         }
         self.last = self.last.max(now);
     }
@@ -217,7 +222,8 @@
     /// the state is taken as it is, since other sources may be unreachable.
     pub fn admit(&mut self, now: Millis, ask: &Ask, refreshed: bool) -> Verdict {
         self.observe(now);
-        if ask.deadline <= now {
+        // A request that arrived during a pause may have waited for all of it.
+        if ask.deadline <= now.plus(self.pause) {
             return Verdict::Refuse(Code::DeadlineExceeded);
         }
         if self.leaving.is_some() {
--- a/tests/gate_admit.rs
+++ b/tests/gate_admit.rs
@@ -173,8 +173,14 @@
     let jump = step.plus(MAX_STEP).plus(Millis(1));
     assert_eq!(gate.dispatch(jump, &held), Err(Code::UpstreamBusy));
     assert_eq!(gate.admit(jump, &ask("v1", 3), true), Verdict::Refresh);
+    // It may have waited since before the pause, longer than its deadline allows.
+    let mut short = ask("v1", 3);
+    short.deadline = jump.plus(MAX_STEP);
+    let late = refused(Code::DeadlineExceeded);
+    assert_eq!(gate.admit(jump, &short, false), late);
     gate.refreshed(jump);
     permit(&mut gate, jump);
+    assert!(matches!(gate.admit(jump, &short, false), Verdict::Admit(_)));
 }
 
 // Guards against new work at a leaving upstream, and against refusing work that
--- /dev/null
+++ b/tests/process_faults.rs
@@ -0,0 +1,357 @@
+//! Faults of real processes: kills, pauses and drains while requests run.
+
+#![allow(
+    clippy::allow_attributes,
+    clippy::unwrap_used,
+    reason = "a failed step ends the test"
+)]
+
+mod support;
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::thread::JoinHandle;
+
+use chervilquay::standin::engine::token;
+use serde_json::Value;
+use support::system::System;
+use support::system::dump;
+use support::system::http;
+use support::system::open;
+use support::system::split;
+use support::system::start_agent;
+use support::system::until;
+
+/// Time of a token, in microseconds: long enough to act while a stream runs.
+const TOKEN_US: &str = "20000";
+
+/// Tokens of a stream that is still running when a fault is injected.
+const TOKENS: u64 = 120;
+
+type Answer = (u16, String, String);
+
+fn start(name: &str) -> System {
+    let system = System::start_with(name, TOKEN_US);
+    system.until_serving();
+    system
+}
+
+fn completion(prompt: &str, tokens: u64) -> String {
+    format!(r#"{{"prompt":"{prompt}","max_tokens":{tokens},"stream":true}}"#)
+}
+
+fn complete(entry: SocketAddr, prompt: &str, tokens: u64) -> Answer {
+    let body = completion(prompt, tokens);
+    http(entry, "POST", "/v1/completions", &[], &body).unwrap()
+}
+
+/// Starts a stream and reads its first bytes.
+fn stream(entry: SocketAddr, prompt: &str) -> (TcpStream, Vec<u8>) {
+    let body = completion(prompt, TOKENS);
+    let mut stream = open(entry, "POST", "/v1/completions", &[], &body).unwrap();
+    let mut held = Vec::new();
+    while !String::from_utf8_lossy(&held).contains("data:") {
+        let mut part = [0; 1_024];
+        let count = stream.read(&mut part).unwrap();
+        assert!(count > 0, "{}", String::from_utf8_lossy(&held));
+        held.extend_from_slice(&part[..count]);
+    }
+    (stream, held)
+}
+
+/// Reads a stream to its end, clean or not.
+fn finish((mut stream, mut held): (TcpStream, Vec<u8>)) -> String {
+    let _ = stream.read_to_end(&mut held);
+    split(&String::from_utf8_lossy(&held)).2
+}
+
+fn ended_cleanly(body: &str) -> bool {
+    body.ends_with("0\r\n\r\n")
+}
+
+/// True when a body holds every token of the answer to `prompt`, and its end.
+fn is_whole(body: &str, prompt: &str) -> bool {
+    let texts: Vec<&str> = body
+        .match_indices("data: {")
+        .map(|(at, _)| &body[at..])
+        .collect();
+    let right = texts.iter().zip(0..).all(|(text, index)| {
+        let event = text.lines().next().unwrap_or_default();
+        event.contains(token(prompt, index).trim())
+    });
+    right && texts.len() as u64 == TOKENS && body.contains("[DONE]") && ended_cleanly(body)
+}
+
+fn ticket(entry: SocketAddr) -> String {
+    let body = r#"{"path":"/book"}"#;
+    let (status, _, body) = http(entry, "POST", "/chervilquay/tickets", &[], body).unwrap();
+    assert_eq!(status, 200, "{body}");
+    json(&body)["ticket"].as_str().unwrap().to_string()
+}
+
+fn book(entry: SocketAddr, key: &str) -> Answer {
+    let headers = [("idempotency-key", key)];
+    http(entry, "POST", "/book", &headers, r#"{"lane":3}"#).unwrap()
+}
+
+fn book_later(entry: SocketAddr, key: &str) -> JoinHandle<Answer> {
+    let key = key.to_string();
+    thread::spawn(move || book(entry, &key))
+}
+
+fn json(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_default()
+}
+
+/// Runs of a key at all services, by their own record.
+fn runs(system: &System, key: &str) -> u64 {
+    let services = system.agents.iter().filter(|vm| vm.pool == "booking");
+    let counts = services.map(|vm| {
+        let reply = http(vm.engine_addr, "GET", "/standin/runs", &[], "");
+        let body = reply.map(|(_, _, body)| body).unwrap_or_default();
+        json(&body)[key].as_u64().unwrap_or(0)
+    });
+    counts.sum()
+}
+
+/// Multiplies the time of each call at the services.
+fn slow(system: &System, factor: &str) {
+    for vm in &system.agents {
+        http(vm.engine_addr, "POST", "/standin/slow", &[], factor).unwrap();
+    }
+}
+
+/// Index of the agent that a ticket names.
+fn owner(system: &System, key: &str) -> usize {
+    let name = key.split('.').nth(1).unwrap();
+    system.agents.iter().position(|vm| vm.name == name).unwrap()
+}
+
+fn run_of(answer: &Answer) -> String {
+    json(&answer.2)["run"].as_str().unwrap_or("-").to_string()
+}
+
+// Guards against tickets that run twice or are answered differently when the
+// caller sends again, also through the other entry and while the call runs.
+#[test]
+fn booking_is_replayed() {
+    let system = start("booking-replayed");
+    let (first, second) = (system.entries[0].http, system.entries[1].http);
+    slow(&system, "25");
+    let key = ticket(first);
+    let running = book_later(first, &key);
+    until("the call runs", || runs(&system, &key) == 1);
+    let attached = book(second, &key);
+    let answer = running.join().unwrap();
+    assert_eq!(
+        (answer.0, attached.0),
+        (200, 200),
+        "{answer:?} {attached:?}"
+    );
+    assert_eq!(answer.2, attached.2);
+    assert_eq!(book(second, &key).2, answer.2);
+    assert_eq!(runs(&system, &key), 1);
+}
+
+// Guards against keys that are no tickets: the caller gets one (428), and a
+// forged one is refused.
+#[test]
+fn other_keys_get_tickets() {
+    let system = start("other-keys");
+    let entry = system.entries[0].http;
+    let answer = book(entry, "my-own-key");
+    assert_eq!((answer.0, run_of(&answer).as_str()), (428, "not_run"));
+    let key = json(&answer.2)["ticket"].as_str().unwrap().to_string();
+    let forged = format!("{}0", &key[..key.len() - 1]);
+    let forged = if forged == key {
+        format!("{}1", &key[..key.len() - 1])
+    } else {
+        forged
+    };
+    assert_eq!(book(entry, &forged).0, 400);
+    assert_eq!(book(entry, &key).0, 200);
+    assert_eq!(runs(&system, &key), 1);
+}
+
+// Guards against a second run, or a wrong "not run", when the agent is killed
+// in the middle of a booking and the caller sends again through the other entry.
+#[test]
+fn agent_killed_in_booking() {
+    let mut system = start("agent-killed");
+    slow(&system, "150");
+    let (first, second) = (system.entries[0].http, system.entries[1].http);
+    let key = ticket(first);
+    let owner = owner(&system, &key);
+    let running = book_later(first, &key);
+    until("the call runs", || runs(&system, &key) == 1);
+    system.agents[owner].process.kill();
+    let answer = running.join().unwrap();
+    assert_eq!(run_of(&answer), "unknown", "{answer:?}");
+    let again = book(second, &key);
+    assert_eq!(run_of(&again), "unknown", "{again:?}");
+    assert!(again.1.contains("retry-after"), "{again:?}");
+    system.agents[owner].process = start_agent(&system.agents[owner].settings);
+    system.until_serving();
+    let last = book(second, &key);
+    assert_eq!(
+        (last.0, run_of(&last).as_str()),
+        (410, "unknown"),
+        "{last:?}"
+    );
+    assert_eq!(runs(&system, &key), 1);
+}
+
+// Guards against a run after the caller was told that there was none, and
+// against late runs, when the agent is paused across the deadline.
+#[test]
+fn agent_paused_across_deadline() {
+    let system = start("agent-paused");
+    let (first, second) = (system.entries[0].http, system.entries[1].http);
+    let key = ticket(first);
+    let agent = &system.agents[owner(&system, &key)];
+    agent.process.signal("STOP");
+    let answer = book(first, &key);
+    assert_eq!(run_of(&answer), "unknown", "{answer:?}");
+    agent.process.signal("CONT");
+    until("the agent answers", || {
+        dump(agent.admin)["guard"]["stale"] == false
+    });
+    let again = book(second, &key);
+    match run_of(&again).as_str() {
+        "not_run" => assert_eq!(runs(&system, &key), 0, "{again:?}"),
+        _ => assert_eq!((again.0, runs(&system, &key)), (200, 1), "{again:?}"),
+    }
+    // A barred key stays barred.
+    if again.0 != 200 {
+        assert_eq!(run_of(&book(first, &key)), "not_run");
+        assert_eq!(runs(&system, &key), 0);
+    }
+}
+
+// Guards against a clean end of an answer whose engine died: the caller would
+// take a part for the whole.
+#[test]
+fn engine_killed_in_stream() {
+    let mut system = start("engine-killed");
+    let entry = system.entries[0].http;
+    let running = stream(entry, "broken");
+    let busy = |vm: &support::system::AgentVm| dump(vm.admin)["guard"]["dispatched"] == 1;
+    let index = system.agents.iter().position(busy).unwrap();
+    system.agents[index].engine.kill();
+    let body = finish(running);
+    assert!(!ended_cleanly(&body), "{body}");
+    assert!(!body.contains("[DONE]"), "{body}");
+    let answer = complete(entry, "next", 3);
+    assert_eq!(answer.0, 200, "{answer:?}");
+}
+
+// Guards against a request that crashes one upstream after the other, and
+// against blocking others with it.
+#[test]
+fn crashing_request_is_blocked() {
+    let mut system = start("crashing-request");
+    let entry = system.entries[0].http;
+    for _ in 0..2 {
+        let running = stream(entry, "crash");
+        let busy = |vm: &support::system::AgentVm| dump(vm.admin)["guard"]["dispatched"] == 1;
+        let index = system.agents.iter().position(busy).unwrap();
+        system.agents[index].engine.kill();
+        assert!(!ended_cleanly(&finish(running)));
+    }
+    let answer = complete(entry, "crash", TOKENS);
+    assert_eq!(answer.0, 422, "{answer:?}");
+    assert_eq!(json(&answer.2)["code"], 4009);
+    assert!(answer.1.contains("retry-after"), "{answer:?}");
+    let other = complete(entry, "harmless", 3);
+    assert_ne!(other.0, 422, "{other:?}");
+}
+
+// Guards against a drain by table that interrupts a stream or goes on giving
+// new work to the upstream; known keys are still answered.
+#[test]
+fn drain_by_table() {
+    let mut system = start("drain-table");
+    let (first, second) = (system.entries[0].http, system.entries[1].http);
+    let key = ticket(first);
+    let booked = book(first, &key);
+    let fresh = ticket(first);
+    let booker = system.agents[owner(&system, &fresh)].name.clone();
+    let running = stream(first, "drained");
+    let busy = |vm: &support::system::AgentVm| dump(vm.admin)["guard"]["dispatched"] == 1;
+    let index = system.agents.iter().position(busy).unwrap();
+    let (name, admin) = (
+        system.agents[index].name.clone(),
+        system.agents[index].admin,
+    );
+    system.publish(0, &[&name, &booker]);
+    until("the agent drains", || {
+        dump(admin)["guard"]["leaving"] == "table"
+    });
+    system.until_serving();
+    for prompt in 0..4 {
+        assert_eq!(complete(first, &prompt.to_string(), 2).0, 200);
+        assert!(dump(admin)["guard"]["dispatched"].as_u64().unwrap() <= 1);
+    }
+    let body = finish(running);
+    assert!(is_whole(&body, "drained"), "{body}");
+    until("the agent is empty", || {
+        dump(admin)["guard"]["phase"] == "drained"
+    });
+    assert_eq!(book(second, &key).2, booked.2);
+    let refused = book(second, &fresh);
+    assert_eq!(run_of(&refused), "not_run", "{refused:?}");
+    assert_eq!(runs(&system, &fresh), 0);
+    let new = json(&refused.2)["ticket"].as_str().unwrap().to_string();
+    assert_ne!(system.agents[owner(&system, &new)].name, booker);
+    assert_eq!(book(second, &new).0, 200);
+}
+
+// Guards against a stop of an agent that interrupts a running stream, takes new
+// work, or fails.
+#[test]
+fn agent_stopped_in_stream() {
+    let mut system = start("agent-stopped");
+    let entry = system.entries[0].http;
+    let running = stream(entry, "stopped");
+    let busy = |vm: &support::system::AgentVm| dump(vm.admin)["guard"]["dispatched"] == 1;
+    let index = system.agents.iter().position(busy).unwrap();
+    system.agents[index].process.signal("TERM");
+    let admin = system.agents[index].admin;
+    until("the agent stops", || {
+        dump(admin)["guard"]["leaving"] == "stop"
+    });
+    assert_eq!(complete(entry, "other", 2).0, 200);
+    let body = finish(running);
+    assert!(is_whole(&body, "stopped"), "{body}");
+    assert!(system.agents[index].process.wait(), "exit status");
+}
+
+// Guards against a stop of an entry that interrupts a running stream, or takes
+// new connections.
+#[test]
+fn entry_stopped_in_stream() {
+    let mut system = start("entry-stopped");
+    let entry = system.entries[0].http;
+    let running = stream(entry, "entry stops");
+    system.entries[0].process.signal("TERM");
+    until("the entry refuses", || TcpStream::connect(entry).is_err());
+    let body = finish(running);
+    assert!(is_whole(&body, "entry stops"), "{body}");
+    assert!(system.entries[0].process.wait(), "exit status");
+}
+
+// Guards against serving that depends on the platform: with it down, requests
+// and bookings go on with the last tables.
+#[test]
+fn platform_down() {
+    let mut system = start("platform-down");
+    system.platform.kill();
+    for entry in &system.entries {
+        assert_eq!(complete(entry.http, "still", 3).0, 200);
+        let key = ticket(entry.http);
+        assert_eq!(book(entry.http, &key).0, 200);
+        assert_eq!(runs(&system, &key), 1);
+    }
+}
