--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,5 +8,6 @@
 pub mod explain;
 pub mod fetch;
 pub mod output;
+pub mod scenario;
 pub mod standin;
 pub mod status;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod proto;
 pub mod retry;
 pub mod route;
+pub mod scenario;
 pub mod sched;
 pub mod standin;
 pub mod table;
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
     Codes(cmd::codes::Args),
     Dump(cmd::dump::Args),
     Explain(cmd::explain::Args),
+    Scenario(cmd::scenario::Args),
     Standin(cmd::standin::Args),
     Status(cmd::status::Args),
 }
@@ -44,6 +45,7 @@
         Command::Codes(args) => cmd::codes::run(args),
         Command::Dump(args) => cmd::dump::run(args),
         Command::Explain(args) => cmd::explain::run(args),
+        Command::Scenario(args) => cmd::scenario::run(args),
         Command::Standin(args) => cmd::standin::run(args),
         Command::Status(args) => cmd::status::run(args),
     };
--- /dev/null
+++ b/tests/scenario_files.rs
@@ -0,0 +1,80 @@
+//! Scripted scenarios: all of them hold, and the language sees what does not.
+
+mod support;
+
+use chervilquay::error::Code;
+use chervilquay::scenario;
+
+fn run(text: &str, seed: u64) -> scenario::Report {
+    let mut parsed = scenario::parse("test", text).unwrap_or_else(|e| panic!("{e}"));
+    parsed.seed = seed;
+    scenario::run(&parsed).unwrap_or_else(|e| panic!("{e}"))
+}
+
+// Guards against a change of the decision core that breaks a scenario.
+#[test]
+fn scenarios_hold() {
+    let files = support::files("scenarios");
+    assert!(files.len() >= 10, "{} scenarios", files.len());
+    for file in files {
+        let text = support::text(&format!("scenarios/{file}"));
+        for seed in 1..=20 {
+            let report = run(&text, seed);
+            assert!(report.checked > 0, "{file} checks nothing");
+            assert!(
+                report.failures.is_empty(),
+                "{file} seed {seed}: {report:#?}"
+            );
+        }
+    }
+}
+
+// Guards against expectations that pass whatever is found.
+#[test]
+fn wrong_expectations_fail() {
+    let text = support::text("scenarios/half-published.yaml");
+    for (right, wrong) in [
+        ("all: 2", "all: 1"),
+        ("chat-2: E2008", "chat-2: none"),
+        ("r1: done", "r1: E4006"),
+    ] {
+        assert!(text.contains(right), "{right}");
+        let report = run(&text.replace(right, wrong), 1);
+        assert!(!report.failures.is_empty(), "{wrong} passes");
+    }
+    let text = support::text("scenarios/crash-retry.yaml");
+    for (right, wrong) in [
+        ("[chat-2] }\n      run", "[chat-1] }\n      run"),
+        ("booking: unknown", "booking: not_run"),
+        ("dispatched: { booking: 1 }", "dispatched: { booking: 2 }"),
+    ] {
+        assert!(text.contains(right), "{right}");
+        let report = run(&text.replace(right, wrong), 1);
+        assert!(!report.failures.is_empty(), "{wrong} passes");
+    }
+}
+
+// Guards against misspelt names that make a script check nothing.
+#[test]
+fn bad_scripts_are_refused() {
+    let text = support::text("scenarios/half-published.yaml");
+    for (good, bad) in [
+        ("publish: { routes: two }", "publish: { routes: tow }"),
+        ("entry-1: E2008", "entry-9: E2008"),
+        ("    expect: { all: 1 }", "    expects: { all: 1 }"),
+        ("at: 14000", "at: 140"),
+        ("name: Half", "nam: Half"),
+    ] {
+        assert!(text.contains(good), "{good}");
+        let error = scenario::parse("test", &text.replace(good, bad)).expect_err(bad);
+        assert_eq!(error.code, Code::ScenarioFailed);
+    }
+}
+
+// Guards against runs that differ with one seed.
+#[test]
+fn runs_repeat() {
+    let text = support::text("scenarios/revision-conflict.yaml");
+    let reports = [run(&text, 3), run(&text, 3)].map(|r| format!("{r:?}"));
+    assert_eq!(reports[0], reports[1]);
+}
