--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,3 +1,4 @@
-//! Experiments on the real code over loopback.
+//! Experiments on the real code over loopback, and long randomised runs.
 
 pub mod fleet;
+pub mod tables;
