--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod scenario;
 pub mod sched;
 pub mod standin;
 pub mod table;
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
     Demo(cmd::demo::Args),
     Dump(cmd::dump::Args),
     Explain(cmd::explain::Args),
+    Scenario(cmd::scenario::Args),
     Standin(cmd::standin::Args),
     Status(cmd::status::Args),
 }
@@ -46,6 +47,7 @@
         Command::Demo(args) => cmd::demo::run(args),
         Command::Dump(args) => cmd::dump::run(args),
         Command::Explain(args) => cmd::explain::run(args),
+        Command::Scenario(args) => cmd::scenario::run(args),
         Command::Standin(args) => cmd::standin::run(args),
         Command::Status(args) => cmd::status::run(args),
     };
