scenario: Follow the changed admission and ledger interfaces

Cause: the scenario fakes were written against earlier signatures of the gate and the ledger, so the merge did not compile. Change: adapt the two calls.

--- a/src/scenario/agent.rs
+++ b/src/scenario/agent.rs
@@ -101,7 +101,6 @@
         self.gate.set_own(held.map(|(pool_name, pool, _)| Own {
             pool: pool_name.to_string(),
             model: pool.model.clone(),
-            digest: pool.digest.clone(),
             revision: set.stamp.revision,
             service: pool.kind == Kind::Service,
         }));
@@ -198,7 +197,7 @@
                 headers: Vec::new(),
                 body: Bytes::from_static(BODY),
             };
-            self.ledger.finish(ticket, answer);
+            self.ledger.finish(ticket, Arc::new(answer));
         }
         for (to, serve) in &running.waiters {
             answer(&self.name, to, serve, out);
