demo: Send bookings whose pool was emptied meanwhile

Cause: the demo never provoked an answer "not run", so P3 was not exercised. Change: tickets minted before the booking pool is emptied are sent while it is empty and again after the refill.

--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -46,9 +46,15 @@
 }
 
 impl Barred {
-    fn push(&self, key: &str) {
-        let mut keys = self.keys.lock().unwrap_or_else(|e| e.into_inner());
-        keys.push(key.to_string());
+    /// Records the key if the answer says that it was not run; true when it does.
+    pub fn note(&self, key: &str, status: u16, bytes: &[u8]) -> bool {
+        let value: Value = serde_json::from_slice(bytes).unwrap_or_default();
+        let is_barred = status != 200 && value["run"] == "not_run";
+        if is_barred {
+            let mut keys = self.keys.lock().unwrap_or_else(|e| e.into_inner());
+            keys.push(key.to_string());
+        }
+        is_barred
     }
 
     /// The keys so far.
@@ -167,7 +173,7 @@
     for answer in answers {
         match answer {
             Ok((200, bytes)) => outcomes.push(bytes),
-            Ok((_, bytes)) if bytes.windows(9).any(|w| w == b"\"not_run\"") => barred.push(ticket),
+            Ok((status, bytes)) if barred.note(ticket, status, &bytes) => {}
             _ => {
                 outcome.unknown.fetch_add(1, Ordering::Relaxed);
             }
--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -28,6 +28,9 @@
 const COMPLETION_CALLERS: u64 = 6;
 const BOOKING_CALLERS: u64 = 2;
 
+/// Bookings whose tickets are minted before their pool is emptied and used after.
+const LATE_BOOKINGS: u64 = 20;
+
 /// Tokens of the streams that run while an upstream or entry leaves.
 const STREAM_TOKENS: u64 = 400;
 
@@ -61,7 +64,7 @@
     let sampler = rt::spawn(sample(fleet.clone(), checks.clone(), outcome.clone()));
     rollout(&fleet, &checks, seed, show).await?;
     drain(&fleet, &checks, &outcome, show).await?;
-    empty_bookings(&fleet, &checks, show).await?;
+    empty_bookings(&fleet, &checks, &barred, show).await?;
     stop_entry(&fleet, &checks, &outcome, show).await?;
     outcome.stop.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -204,7 +207,13 @@
 }
 
 /// Empties all of the booking pool: bookings must be refused as not run.
-async fn empty_bookings(fleet: &Fleet, checks: &Checks, show: Show<'_>) -> Result<()> {
+async fn empty_bookings(
+    fleet: &Fleet,
+    checks: &Checks,
+    barred: &Barred,
+    show: Show<'_>,
+) -> Result<()> {
+    let tickets = tickets(fleet).await;
     let names: Vec<String> = fleet.services().iter().map(|vm| vm.name.clone()).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     fleet.publish(&names);
@@ -215,13 +224,35 @@
     let later: u64 = fleet.services().iter().map(|vm| vm.engine.started()).sum();
     let detail = || format!("booking: {} new requests", later - begun);
     checks.check(Promise::P5, later == begun, detail);
+    send_late(fleet, barred, &tickets).await;
     fleet.publish(&[]);
     in_force(fleet, checks).await;
     fleet.until_serving(STEP_LIMIT).await?;
+    // A key that was answered "not run" must stay barred when its upstream serves again.
+    send_late(fleet, barred, &tickets).await;
     show("booking pool emptied and refilled");
     Ok(())
 }
 
+/// Tickets that are not used until the pool has been emptied.
+async fn tickets(fleet: &Fleet) -> Vec<String> {
+    let mut tickets = Vec::new();
+    for turn in 0..LATE_BOOKINGS {
+        tickets.extend(fleet.ticket(fleet.open_entry(turn), "/book").await);
+    }
+    tickets
+}
+
+async fn send_late(fleet: &Fleet, barred: &Barred, tickets: &[String]) {
+    for (turn, ticket) in tickets.iter().enumerate() {
+        let addr = fleet.open_entry(turn as u64);
+        let sent = fleet.send(addr, "/book", Some(ticket), "late".to_string());
+        if let Ok((status, bytes)) = sent.await {
+            barred.note(ticket, status, &bytes);
+        }
+    }
+}
+
 /// Stops one entry with streams running through it.
 async fn stop_entry(
     fleet: &Arc<Fleet>,
