net: Deliver the answer to a body that is too large

Cause: the entry answered 413 and closed while the caller still wrote; the reset discarded the answer before the caller read it. Change: read and drop up to the limit again before answering; tests for broken requests, bad tables and bad settings against the real daemons. Conclusion: callers see the code.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -82,6 +82,23 @@
     .boxed_unsync()
 }
 
+/// Reads and drops what follows, up to `limit` bytes.
+///
+/// A connection that is closed while its sender still writes is reset, and the
+/// sender then never sees the answer.
+async fn discard<B>(body: &mut B, limit: usize)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut count = 0;
+    while count < limit {
+        let Some(Ok(frame)) = body.frame().await else {
+            return;
+        };
+        count += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
 /// Reads a body whole, up to `limit` bytes.
 pub async fn read<B>(mut body: B, limit: usize) -> Result<Bytes>
 where
@@ -95,6 +112,7 @@
             continue;
         };
         if held.len() + data.len() > limit {
+            discard(&mut body, limit).await;
             let detail = format!("more than {limit} bytes");
             return Err(Error::new(Code::BodyTooLarge, detail));
         }
--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,109 @@
+//! Bad input to the daemons: each gets an error with its code, and nothing that works is lost.
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+
+use support::system::HANG_GUARD;
+use support::system::Process;
+use support::system::System;
+use support::system::WorkDir;
+use support::system::dump;
+use support::system::http;
+use support::system::until;
+
+const GOOD: &str = r#"{"prompt":"p","max_tokens":2,"stream":true}"#;
+
+fn raw(addr: SocketAddr, parts: &[&str]) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(HANG_GUARD)).unwrap();
+    for part in parts {
+        let _ = stream.write_all(part.as_bytes());
+    }
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+fn assert_serves(system: &System) {
+    let addr = system.entries[0].http;
+    let (status, _, body) = http(addr, "POST", "/v1/completions", &[], GOOD).unwrap();
+    assert_eq!(status, 200, "{body}");
+    assert!(body.contains("[DONE]"), "{body}");
+}
+
+// Guards against callers that crash an entry or have a broken request run.
+#[test]
+fn broken_requests() {
+    let system = System::start("broken-requests");
+    system.until_serving();
+    let addr = system.entries[0].http;
+
+    let large = "x".repeat((4 << 20) + 1);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        large.len()
+    );
+    let answer = raw(addr, &[&head, &large]);
+    assert!(answer.contains("413"), "{answer}");
+    assert!(answer.contains("\"code\":4003"), "{answer}");
+
+    let header = format!(
+        "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-long: {}\r\n\r\n",
+        "y".repeat(1 << 20)
+    );
+    let answer = raw(addr, &[&header]);
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+
+    let answer = raw(addr, &["nonsense\r\n\r\n"]);
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+
+    let cut = "POST /book HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf";
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all(cut.as_bytes()).unwrap();
+    drop(stream);
+    for agent in system.agents.iter().filter(|vm| vm.pool == "booking") {
+        let (_, _, runs) = http(agent.engine_addr, "GET", "/standin/runs", &[], "").unwrap();
+        assert_eq!(runs, "{}", "a truncated booking ran");
+    }
+    assert_serves(&system);
+}
+
+// Guards against one bad table that takes down what is in force.
+#[test]
+fn bad_tables() {
+    let mut system = System::start("bad-tables");
+    system.until_serving();
+    let revision = system.revision;
+    for text in [
+        ": not yaml [",
+        "revision: 99\nroutes: {a: {path: /a, pool: missing}}\n",
+    ] {
+        system.put("routes", text);
+        until("dump names the refusal", || {
+            let dump = dump(system.entries[0].admin);
+            !dump["tables"]["refused"].is_null()
+        });
+        assert_eq!(
+            dump(system.entries[0].admin)["tables"]["revision"],
+            revision
+        );
+        assert_serves(&system);
+    }
+    system.publish(0, &[]);
+    system.until_serving();
+    assert_serves(&system);
+}
+
+// Guards against a daemon that starts on settings it does not understand.
+#[test]
+fn bad_settings() {
+    let dir = WorkDir::new("bad-settings");
+    let path = dir.write("entry.yaml", "node: {name: e, zone: z, colour: blue}\n");
+    let binary = env!("CARGO_BIN_EXE_chervilquay-entry");
+    let mut process = Process::start(binary, &["--settings", &path.to_string_lossy()]);
+    assert!(!process.wait(), "the daemon accepted bad settings");
+}
