--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -1,5 +1,7 @@
 //! Bad input to the daemons: each gets an error with its code, and nothing that works is lost.
 
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
 mod support;
 
 use std::io::Read;
