scenario: Spread tables with the core of the processes

The scenarios used a fake spread in which each process read the configuration service. They now run table::sync in each process over a fake service with blocking reads and over links that retransmit answers after a partition.

Only the readers of a zone see what the service holds, so the expectation `refused` names a zone instead of a process; its test turns it round as before. A fleet that starts empty as a whole needs up to 11 s, because first reads are spread over 10 s; the steps of all scenarios moved by 15 s for that.

--- a/src/scenario/message.rs
+++ b/src/scenario/message.rs
@@ -1,10 +1,14 @@
 //! Messages between processes of a scenario, and what processes ask of the world.
 
+use std::net::SocketAddr;
+
 use crate::once::Ticket;
 use crate::prelude::*;
+use crate::proto::FetchReply;
+use crate::proto::Notice;
 use crate::route::flight::Piece;
-use crate::table::Set;
 use crate::table::Stamp;
+use crate::table::sync;
 
 /// One attempt of a request.
 #[derive(Clone, Debug)]
@@ -32,21 +36,60 @@
 /// A message.
 #[derive(Clone, Debug)]
 pub enum Message {
-    /// The texts that the configuration service holds.
+    /// Reads a key of the configuration service.
     Read {
-        /// Routes.
-        routes: String,
-        /// Pools.
-        pools: String,
+        /// Number of the call.
+        call: u64,
+        /// Key.
+        key: sync::Key,
+        /// Index of the last answer.
+        index: u64,
+        /// Longest wait for a change.
+        wait: Millis,
+    },
+    /// Answer to a read; none when the service cannot be reached.
+    Reading {
+        /// Number of the call.
+        call: u64,
+        /// Key.
+        key: sync::Key,
+        /// Value and its index.
+        reading: Option<sync::Reading>,
+    },
+    /// Tells a peer what the sender holds.
+    Exchange {
+        /// Number of the call.
+        call: u64,
+        /// What it holds.
+        notice: Notice,
+    },
+    /// Answer to an exchange; none when the peer cannot be reached.
+    Exchanged {
+        /// Number of the call.
+        call: u64,
+        /// What the peer holds.
+        notice: Option<Notice>,
+    },
+    /// Asks a peer for tables or the live list.
+    Fetch {
+        /// Number of the call.
+        call: u64,
+        /// What is asked for.
+        kind: sync::Kind,
+        /// What the sender holds.
+        base: Stamp,
+    },
+    /// Answer to a fetch; none when the peer cannot be reached.
+    Fetched {
+        /// Number of the call.
+        call: u64,
+        /// What was asked for.
+        kind: sync::Kind,
+        /// Base of a delta.
+        base: Stamp,
+        /// The answer.
+        reply: Option<Arc<FetchReply>>,
     },
-    /// VMs that the live list calls leaving.
-    Live(Vec<String>),
-    /// The set in force at the sender.
-    Notice(Stamp),
-    /// Asks for the receiver's set.
-    Fetch,
-    /// A set.
-    Tables(Arc<Set>),
     /// An attempt.
     Serve(Serve),
     /// Part of an answer; the head is the name of the process that gives it.
@@ -108,10 +151,12 @@
     Send(String, Message),
     /// Do work that takes this long.
     After(Millis, Work),
-    /// Read tables from the configuration service and one peer.
-    Refresh,
-    /// Tell peers of a new set.
-    Spread(Stamp),
+    /// Read the configuration service.
+    Platform(Message),
+    /// Call the process at an address.
+    Call(SocketAddr, Message),
+    /// Ask a process for newer tables.
+    Ask(String),
     /// A request was dispatched to the engine.
     Dispatched(String),
     /// A request ended.
--- a/src/scenario/mod.rs
+++ b/src/scenario/mod.rs
@@ -8,7 +8,11 @@
 pub mod doc;
 pub mod entry;
 pub mod expect;
+mod link;
 pub mod message;
+pub mod node;
+pub mod platform;
+mod step;
 pub mod tables;
 pub mod world;
 
