--- a/src/scenario/agent.rs
+++ b/src/scenario/agent.rs
@@ -197,7 +197,7 @@
                 headers: Vec::new(),
                 body: Bytes::from_static(BODY),
             };
-            self.ledger.finish(ticket, answer);
+            self.ledger.finish(ticket, Arc::new(answer));
         }
         for (to, serve) in &running.waiters {
             answer(&self.name, to, serve, out);
