tests: Prove that the loss of any one process is survived

Cause: no test ended one process after the other and looked at the callers. Change: tests/single_loss.rs kills platform, origin, entry, agent and engine. Conclusion: holds for repeatable requests.

--- /dev/null
+++ b/tests/single_loss.rs
@@ -0,0 +1,75 @@
+//! Loss of any one process: the rest goes on serving as docs/design.md says.
+
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
+mod support;
+
+use support::system::System;
+use support::system::dump;
+use support::system::http;
+use support::system::start_agent;
+use support::system::until;
+
+const BODY: &str = r#"{"prompt":"p","max_tokens":3,"stream":true}"#;
+
+/// Requests sent after each loss.
+const COUNT: usize = 8;
+
+fn is_answered(system: &System, entry: usize) -> bool {
+    let addr = system.entries[entry].http;
+    match http(addr, "POST", "/v1/completions", &[], BODY) {
+        Ok((200, _, body)) => body.contains("[DONE]"),
+        _ => false,
+    }
+}
+
+/// Every request is answered, through each entry that is left.
+fn assert_answered(system: &System, entries: &[usize]) {
+    for entry in entries {
+        for index in 0..COUNT {
+            assert!(
+                is_answered(system, *entry),
+                "request {index} through {entry}"
+            );
+        }
+    }
+}
+
+// Guards against serving that depends on the platform or the origin being up.
+#[test]
+fn platform_and_origin() {
+    let mut system = System::start("lost-platform");
+    system.until_serving();
+    system.platform.kill();
+    assert_answered(&system, &[0, 1]);
+    system.origin.kill();
+    assert_answered(&system, &[0, 1]);
+}
+
+// Guards against an entry whose loss is felt through another entry.
+#[test]
+fn one_entry() {
+    let mut system = System::start("lost-entry");
+    system.until_serving();
+    system.entries[0].process.kill();
+    assert_answered(&system, &[1]);
+}
+
+// Guards against a dead agent or engine that callers see, where a repeatable
+// request could have gone elsewhere, and against one that does not come back.
+#[test]
+fn agent_and_engine() {
+    let mut system = System::start("lost-agent");
+    system.until_serving();
+    system.agents[0].process.kill();
+    assert_answered(&system, &[0, 1]);
+    system.agents[0].process = start_agent(&system.agents[0].settings);
+    system.until_serving();
+    system.agents[1].engine.kill();
+    assert_answered(&system, &[0, 1]);
+    let admin = system.agents[1].admin;
+    until("the agent sees that its engine is gone", || {
+        dump(admin)["loaded"].is_null()
+    });
+    assert_answered(&system, &[0, 1]);
+}
