tests: Choose ports below the range for outgoing connections

Of 11 parallel runs of the 10 process tests 5 failed: a port that was chosen by binding port 0 and freed again had been taken by an outgoing connection before its server started.

--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses a part of the helper, and a failed step ends the test"
 )]
 
+use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -18,6 +19,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::time::Duration;
 
 /// Longest wait for a condition; a hang guard, not a bound on speed.
@@ -125,10 +127,23 @@
     }
 }
 
-/// A free address on loopback.
+/// Ports that tests listen on.
+///
+/// They lie below the system's range for outgoing connections, which could
+/// otherwise take a port between its choice and the start of its server.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// A free address on loopback, handed out once in this process.
 pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let port = fastrand::u16(PORTS);
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        let is_free = TcpListener::bind(addr).is_ok();
+        if is_free && TAKEN.lock().unwrap().insert(port) {
+            return addr;
+        }
+    }
 }
 
 /// Sends a request on a connection of its own; gives status line, head and body.
