--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,17 @@
 //! Weight distribution for model upstreams that must be filled in bursts under live load.
 
+pub mod agent;
 pub mod arena;
+pub mod bench;
+pub mod cmd;
 pub mod config;
+pub mod entry;
 pub mod error;
 pub mod limit;
 pub mod log;
 pub mod macros;
 pub mod net;
+pub mod node;
 pub mod prelude;
 #[expect(
     missing_docs,
@@ -18,6 +23,7 @@
 pub mod retry;
 pub mod route;
 pub mod sched;
+pub mod standin;
 pub mod table;
 pub mod time;
 pub mod util;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers that several test files share.
+
+pub mod system;
