entry, agent: Carry requests through the decision core

The entry drives each request through `Flight`: limits, overload control, choice, hedges and retries; attempts are tasks whose frames come back over one channel, and dropping a task cancels its work. A call that could not connect counts as not run. The agent queues by expected cost and sets the engine's priority. `Done` carries the time that the upstream took, from which the entry learns costs without the waits in queues.

The stand-in engine gives its batch slots out token by token in order of priority and arrival, as engines with priorities do.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod load;
+pub mod queue;
 pub mod rpc;
 pub mod serve;
 pub mod weights;
@@ -17,6 +18,7 @@
 
 use crate::agent::engine::Engine;
 use crate::agent::load::Loaded;
+use crate::agent::queue::Queue;
 use crate::agent::serve::Gate;
 use crate::agent::weights::Weights;
 use crate::config::AgentSettings;
@@ -49,6 +51,8 @@
     pub loaded: Loaded,
     /// Requests in progress.
     pub gate: Gate,
+    /// Requests waiting for the upstream.
+    pub queue: Queue,
 }
 
 /// Random low bits of an incarnation, so that two starts in one millisecond differ.
@@ -85,6 +89,7 @@
             weights: Weights::new(settings.staging_mb << 20),
             loaded: Loaded::default(),
             gate: Gate::new(settings.max_running + settings.max_queued),
+            queue: Queue::new(&settings),
             settings: Arc::new(settings),
             node,
         }
@@ -112,13 +117,14 @@
         let (closer, closed) = channel::bounded::<()>(1);
         let watch = rt::spawn(platform::watch(self.node.clone()));
         let keep = rt::spawn(load::keep(self.clone()));
+        let queue = rt::spawn(self.queue.clone().run());
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed.clone()));
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed));
         slog::info!(self.node.log, "agent: started"; "rpc" => %self.node.settings.rpc);
         let _ = stop.recv().await;
         self.finish(closer).await;
         rpc_task.await;
-        drop((admin_task, keep, watch));
+        drop((admin_task, keep, queue, watch));
         Ok(())
     }
 
@@ -181,6 +187,7 @@
             "loaded": self.loaded.digest(),
             "weights": self.weights.dump(),
             "gate": self.gate.dump(),
+            "queue": self.queue.dump(),
         })
     }
 }
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -82,7 +82,7 @@
             serving: digest.is_some(),
             digest: digest.unwrap_or_default(),
             leaving: agent.gate.is_closed(),
-            load: Some(agent.gate.load()),
+            load: Some(agent.queue.load()),
             ..proto::StateReply::default()
         }))
     }
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -14,6 +14,7 @@
 use smol::future::FutureExt;
 
 use crate::agent::Agent;
+use crate::agent::queue::Entrant;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client::Client;
@@ -81,14 +82,6 @@
         wait.or(late).await;
     }
 
-    /// Load for reports to entries.
-    pub fn load(&self) -> proto::Load {
-        proto::Load {
-            running: self.lock().running as u32,
-            ..proto::Load::default()
-        }
-    }
-
     /// Counts, for operators.
     pub fn dump(&self) -> Value {
         let state = self.lock();
@@ -156,12 +149,19 @@
 }
 
 async fn attempt(agent: &Agent, request: proto::ServeRequest, frames: &mut Frames) -> Result<()> {
-    let kind = admit(agent, &request)?;
-    let _pass = agent.gate.enter()?;
-    // The state may have changed between the check and the entry into the gate.
     admit(agent, &request)?;
+    let _pass = agent.gate.enter()?;
+    if !agent.queue.note(&request.request, request.attempt) {
+        let detail = format!("attempt {} was seen before", request.attempt);
+        return Err(Error::new(Code::ProtocolInvalid, detail).with_run(Run::Unknown));
+    }
+    let entrant = Entrant::new(&request, weight(agent, &request.organisation));
+    let mut turn = agent.queue.enter(entrant).await?;
+    // The state may have changed while the request waited.
+    let kind = admit(agent, &request)?;
     let expected = request.digest.clone();
-    let answer = agent.engine.forward(engine_request(agent, request)?).await;
+    let order = engine_request(agent, request, kind, turn.priority)?;
+    let answer = agent.engine.forward(order).await;
     let (response, kept) = Client::split(answer?);
     if kind == Kind::Engine && response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // The engine has lost its weights since its last report.
@@ -180,7 +180,15 @@
         (Kind::Engine, false) => copy_whole(agent, body, &expected, frames).await?,
     }
     agent.engine.give_back(kept);
-    frames.done().await
+    let took = turn.done();
+    frames.done(took).await
+}
+
+/// Weight of the organisation's share, by the tables in force.
+fn weight(agent: &Agent, org: &str) -> u32 {
+    let set = agent.node.view.get();
+    let share = set.and_then(|set| Some(set.routes.organisations.get(org)?.share));
+    share.unwrap_or(1)
 }
 
 /// Refuses a request that does not match what this agent serves.
@@ -208,7 +216,16 @@
     Ok(duty.kind)
 }
 
-fn engine_request(agent: &Agent, request: proto::ServeRequest) -> Result<Request<BoxBody>> {
+fn engine_request(
+    agent: &Agent,
+    request: proto::ServeRequest,
+    kind: Kind,
+    priority: i32,
+) -> Result<Request<BoxBody>> {
+    let body = match kind {
+        Kind::Engine => with_priority(request.body, priority),
+        Kind::Service => request.body,
+    };
     let mut builder = Request::builder()
         .method(request.method.as_str())
         .uri(request.path.as_str())
@@ -217,10 +234,22 @@
         builder = builder.header(header.name.as_str(), header.value.as_slice());
     }
     builder
-        .body(body::full(request.body))
+        .body(body::full(body))
         .map_err(|e| Error::new(Code::RequestMalformed, e.to_string()))
 }
 
+/// The body with the agent's priority in place of the caller's.
+///
+/// A body that is no JSON object is left to the engine to refuse.
+fn with_priority(body: Vec<u8>, priority: i32) -> Vec<u8> {
+    let parsed = serde_json::from_slice::<serde_json::Map<String, Value>>(&body);
+    let Ok(mut object) = parsed else {
+        return body;
+    };
+    object.insert("priority".to_string(), json!(priority));
+    serde_json::to_vec(&object).unwrap_or(body)
+}
+
 fn content_type(response: &http::Response<Incoming>) -> &str {
     response
         .headers()
@@ -330,7 +359,7 @@
         let head = proto::Head {
             status: u32::from(response.status().as_u16()),
             headers,
-            load: Some(agent.gate.load()),
+            load: Some(agent.queue.load()),
         };
         self.send(FrameKind::Head(head)).await
     }
@@ -340,9 +369,12 @@
         self.send(FrameKind::Data(data.to_vec())).await
     }
 
-    async fn done(&mut self) -> Result<()> {
-        let length = self.length;
-        self.send(FrameKind::Done(proto::Done { length })).await
+    async fn done(&mut self, took: Millis) -> Result<()> {
+        let done = proto::Done {
+            length: self.length,
+            run_ms: took.0,
+        };
+        self.send(FrameKind::Done(done)).await
     }
 
     async fn fail(&mut self, agent: &Agent, error: Error) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,7 +3,8 @@
 pub mod answer;
 pub mod attempt;
 pub mod http;
-pub mod pick;
+pub mod pools;
+pub mod request;
 
 use ::http::Request;
 use hyper::body::Incoming;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 
 use crate::config::EntrySettings;
-use crate::entry::pick::Flights;
+use crate::entry::pools::Pools;
 use crate::net::rt;
 use crate::net::server;
 use crate::net::server::Limits;
@@ -23,6 +24,7 @@
 use crate::node::platform;
 use crate::prelude::*;
 use crate::proto::peer_server::PeerServer;
+use crate::route::choose::Policy;
 
 /// A running entry; clones share it.
 #[derive(Clone, Debug)]
@@ -31,16 +33,22 @@
     pub node: Node,
     /// Settings.
     pub settings: Arc<EntrySettings>,
-    /// Requests in flight to each upstream.
-    pub flights: Flights,
+    /// Choice, limits and budgets of each pool.
+    pub pools: Pools,
 }
 
 impl Entry {
     /// An entry with these settings; nothing is started yet.
     pub fn new(settings: EntrySettings, log: slog::Logger) -> Entry {
+        Entry::with_policy(settings, log, Policy::Expected)
+    }
+
+    /// An entry that chooses by `policy`; the baselines serve benchmarks.
+    pub fn with_policy(settings: EntrySettings, log: slog::Logger, policy: Policy) -> Entry {
+        let node = Node::new(settings.node.clone(), log);
         Entry {
-            node: Node::new(settings.node.clone(), log),
-            flights: Flights::default(),
+            pools: Pools::new(node.clone(), policy),
+            node,
             settings: Arc::new(settings),
         }
     }
@@ -52,12 +60,13 @@
         let admin = server::bind(self.node.settings.admin)?;
         let (closer, closed) = channel::bounded::<()>(1);
         let watch = rt::spawn(platform::watch(self.node.clone()));
+        let systems = rt::spawn(self.pools.clone().run());
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed.clone()));
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed));
         slog::info!(self.node.log, "entry: started"; "http" => %self.settings.http);
         self.clone().serve_callers(callers, stop).await;
         slog::info!(self.node.log, "entry: stopped");
-        drop((closer, watch, rpc_task, admin_task));
+        drop((closer, watch, systems, rpc_task, admin_task));
         Ok(())
     }
 
@@ -106,7 +115,7 @@
             "name": settings.name,
             "zone": settings.zone,
             "tables": { "revision": stamp.revision, "digest": stamp.digest, "refused": refused },
-            "flights": self.flights.dump(),
+            "pools": self.pools.dump(),
         })
     }
 }
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -90,6 +90,9 @@
     /// Number of body bytes in the whole answer.
     #[prost(uint64, tag = "1")]
     pub length: u64,
+    /// Time that the upstream took, without the wait in the agent's queue.
+    #[prost(uint64, tag = "2")]
+    pub run_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Fail {
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -173,9 +173,27 @@
     }
 }
 
+common! { key
+/// How an upstream is chosen; all but the first are baselines for benchmarks.
+#[derive(Default)]
+pub enum Policy {
+    /// Lowest expected time, with ejection and affinity.
+    #[default]
+    Expected,
+    /// In turn.
+    RoundRobin,
+    /// Fewest calls in progress from this entry.
+    LeastRequests,
+    /// The one with fewer calls in progress of two drawn at random.
+    RandomTwo,
+}
+}
+
 /// The upstreams of one pool in this entry's subset.
 #[derive(Debug)]
 pub struct Chooser {
+    policy: Policy,
+    turn: usize,
     upstreams: Arena<Upstream>,
     calls: Arena<Call>,
     /// Prefixes and their likely holders.
@@ -187,7 +205,14 @@
 impl Chooser {
     /// A chooser without upstreams.
     pub fn new(seed: u64) -> Chooser {
+        Chooser::with_policy(seed, Policy::Expected)
+    }
+
+    /// A chooser without upstreams that chooses by `policy`.
+    pub fn with_policy(seed: u64, policy: Policy) -> Chooser {
         Chooser {
+            policy,
+            turn: 0,
             upstreams: Arena::default(),
             calls: Arena::default(),
             affinity: Affinity::default(),
@@ -262,6 +287,9 @@
         ask: &Ask,
         without: &[Key<Upstream>],
     ) -> Option<Key<Upstream>> {
+        if self.policy != Policy::Expected {
+            return self.pick_plain(now, ask, without);
+        }
         if let Some(probe) = self.probe(now, ask, without) {
             return Some(probe);
         }
@@ -285,6 +313,41 @@
         Some(scored[index].1)
     }
 
+    /// The choice of a baseline policy.
+    fn pick_plain(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        without: &[Key<Upstream>],
+    ) -> Option<Key<Upstream>> {
+        let open = self.upstreams.iter();
+        let open = open.filter(|(key, u)| !without.contains(key) && u.open(now, ask));
+        let open: Vec<_> = open.map(|(key, u)| (u.calls, key)).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let count = open.len();
+        let least = |set: &[(u32, Key<Upstream>)]| {
+            let best = set.iter().min_by_key(|(calls, _)| *calls);
+            best.map(|(_, key)| *key)
+        };
+        self.turn += 1;
+        match self.policy {
+            Policy::Expected | Policy::RoundRobin => Some(open[self.turn % count].1),
+            // The search starts at another place each time, so that ties are spread.
+            Policy::LeastRequests => {
+                let mut turned = open;
+                turned.rotate_left(self.turn % count);
+                least(&turned)
+            }
+            Policy::RandomTwo => {
+                let a = self.rng.usize(0..count);
+                let b = (a + self.rng.usize(1..count.max(2))) % count;
+                least(&[open[a], open[b]])
+            }
+        }
+    }
+
     /// An ejected upstream whose turn to be probed has come.
     fn probe(&self, now: Millis, ask: &Ask, without: &[Key<Upstream>]) -> Option<Key<Upstream>> {
         if !ask.repeatable || !ask.short {
@@ -389,6 +452,9 @@
             call.cost = elapsed;
             upstream.owed_long += elapsed;
         }
+        if self.policy != Policy::Expected {
+            return;
+        }
         let overdue = self.overdue(now);
         self.ejector.tick(now, &mut self.upstreams, &overdue);
     }
--- a/src/route/flight.rs
+++ b/src/route/flight.rs
@@ -142,6 +142,12 @@
         self.winner.map(|index| index as u32 + 1)
     }
 
+    /// Where an attempt runs, while it does.
+    pub fn upstream(&self, attempt: u32) -> Option<Key<Upstream>> {
+        let index = self.open(attempt)?;
+        Some(self.attempts[index].upstream)
+    }
+
     /// Time of the next call of [`Flight::tick`].
     pub fn wake(&self) -> Millis {
         let times = [Some(self.plan.deadline), self.hedge, self.again];
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -9,6 +9,7 @@
 use crate::route::choose::Call;
 use crate::route::choose::Chooser;
 use crate::route::choose::Outcome;
+use crate::route::choose::Policy;
 use crate::route::hedge::Delay;
 use crate::time::Millis;
 
@@ -36,10 +37,19 @@
 impl Router {
     /// A router without upstreams.
     pub fn new(seed: u64) -> Router {
+        Router::with_policy(seed, Policy::Expected)
+    }
+
+    /// A router that chooses by `policy`; baselines neither retry nor hedge.
+    pub fn with_policy(seed: u64, policy: Policy) -> Router {
+        let (retry, hedge, reserve) = match policy {
+            Policy::Expected => (retry::RETRY_RATIO, retry::HEDGE_RATIO, RESERVE),
+            _ => (0.0, 0.0, 0.0),
+        };
         Router {
-            chooser: Chooser::new(seed),
-            retries: Budget::new(retry::RETRY_RATIO, RESERVE),
-            hedges: Budget::new(retry::HEDGE_RATIO, 0.0),
+            chooser: Chooser::with_policy(seed, policy),
+            retries: Budget::new(retry, reserve),
+            hedges: Budget::new(hedge, 0.0),
             rng: Rng::with_seed(seed ^ 1),
             short: Delay::default(),
             long: Delay::default(),
--- a/src/sched/queue.rs
+++ b/src/sched/queue.rs
@@ -34,6 +34,9 @@
     pub max_queued: usize,
     /// Expected time in which the queue is worked off, at most.
     pub max_wait: Millis,
+    /// True for order of arrival without classes and shares: the baseline of
+    /// benchmarks.
+    pub plain: bool,
 }
 }
 
@@ -47,6 +50,19 @@
             surge: quarter,
             max_queued,
             max_wait: Millis(1_000),
+            plain: false,
+        }
+    }
+
+    /// Order of arrival, refusing the newest when full.
+    pub fn plain(max_running: usize, max_queued: usize) -> Settings {
+        Settings {
+            max_running,
+            reserved: 0,
+            surge: 0,
+            max_queued,
+            max_wait: Millis(u64::MAX),
+            plain: true,
         }
     }
 }
@@ -134,7 +150,8 @@
 impl<T> Queue<T> {
     /// An empty queue.
     pub fn new(settings: Settings) -> Queue<T> {
-        assert!(settings.reserved < settings.max_running.max(1));
+        assert!(settings.max_running > 0, "an upstream runs something");
+        assert!(settings.reserved < settings.max_running);
         Queue {
             settings,
             waiting: Vec::new(),
@@ -147,8 +164,12 @@
     /// furthest over its share is refused, its most expensive first.
     pub fn push(&mut self, now: Millis, job: Job<T>) -> Push<T> {
         self.shares.enter(&job.org, job.weight);
-        let patience = Millis(job.deadline.since(now).0 / PATIENCE);
-        let order = now.0 as f64 + AGEING * job.cost;
+        let (patience, ageing) = match self.settings.plain {
+            true => (1, 0.0),
+            false => (PATIENCE, AGEING),
+        };
+        let patience = Millis(job.deadline.since(now).0 / patience);
+        let order = now.0 as f64 + ageing * job.cost;
         self.waiting.push(Waiting {
             since: now,
             give_up: now.plus(patience),
@@ -264,6 +285,9 @@
     fn next(&self, short: bool, long: bool) -> Option<usize> {
         let eligible = |w: &&Waiting<T>| if w.job.short { short } else { long };
         let orders = self.waiting.iter().filter(eligible);
+        if self.settings.plain {
+            return (short && !self.waiting.is_empty()).then_some(0);
+        }
         let first = orders.min_by(|a, b| a.order.total_cmp(&b.order))?;
         let class = first.job.short;
         let mut best: Option<(f64, f64, usize)> = None;
@@ -287,6 +311,9 @@
 
     /// Index of the request that is refused when the queue is full.
     fn victim(&self) -> usize {
+        if self.settings.plain {
+            return self.waiting.len() - 1;
+        }
         let mut owed: indexmap::IndexMap<&str, f64> = indexmap::IndexMap::new();
         for waiting in &self.waiting {
             let org = waiting.job.org.as_str();
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -21,8 +21,6 @@
 use serde_json::Value;
 use serde_json::json;
 use smol::channel;
-use smol::lock::Semaphore;
-use smol::lock::SemaphoreGuardArc;
 
 use crate::error::Code;
 use crate::error::Error;
@@ -33,6 +31,8 @@
 use crate::net::rt;
 use crate::standin;
 use crate::standin::Running;
+use crate::standin::batch::Rank;
+use crate::standin::batch::Slots;
 use crate::util;
 
 /// Largest request body, in bytes.
@@ -77,7 +77,7 @@
 pub struct Engine {
     behaviour: Behaviour,
     state: Arc<Mutex<State>>,
-    slots: Arc<Semaphore>,
+    slots: Slots,
 }
 
 /// A load order.
@@ -100,6 +100,9 @@
     stream: bool,
     #[serde(default)]
     resume_from: u64,
+    /// Requests with a lower number run first.
+    #[serde(default)]
+    priority: i64,
 }
 
 fn default_tokens() -> u64 {
@@ -116,7 +119,7 @@
         Engine {
             behaviour,
             state: Arc::new(Mutex::new(state)),
-            slots: Arc::new(Semaphore::new(behaviour.batch)),
+            slots: Slots::new(behaviour.batch),
         }
     }
 
@@ -270,11 +273,11 @@
         if completion.stream {
             return self.stream(completion);
         }
-        let slot = self.slots.acquire_arc().await;
-        let _running = Count::new(self.clone(), slot);
+        let rank = self.slots.rank(completion.priority);
+        let _running = Count::new(self.clone());
         let mut text = String::new();
         for index in 0..completion.max_tokens {
-            self.token_time().await;
+            self.token_time(rank).await;
             text.push_str(&token(&completion.prompt, index));
         }
         let digest = self.lock().digest.clone();
@@ -285,10 +288,10 @@
         let (sender, receiver) = channel::bounded(16);
         let engine = self.clone();
         rt::spawn(async move {
-            let slot = engine.slots.acquire_arc().await;
-            let _running = Count::new(engine.clone(), slot);
+            let rank = engine.slots.rank(completion.priority);
+            let _running = Count::new(engine.clone());
             for index in completion.resume_from..completion.max_tokens {
-                engine.token_time().await;
+                engine.token_time(rank).await;
                 let digest = engine.lock().digest.clone();
                 let event = event(&token(&completion.prompt, index), &digest);
                 let bytes = Bytes::from(format!("data: {event}\n\n"));
@@ -311,7 +314,9 @@
         response
     }
 
-    async fn token_time(&self) {
+    /// Waits for a slot of the batch and then for the time of one token.
+    async fn token_time(&self, rank: Rank) {
+        let _slot = self.slots.acquire(rank).await;
         let slow = self.lock().slow;
         smol::Timer::after(Duration::from_micros(self.behaviour.token_us * slow)).await;
     }
@@ -322,15 +327,15 @@
         let Ok(sent) = body::read(request.into_body(), MAX_BODY).await else {
             return standin::text(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
         };
-        let slot = self.slots.acquire_arc().await;
-        let _running = Count::new(self.clone(), slot);
+        let rank = self.slots.rank(0);
+        let _running = Count::new(self.clone());
         let count = {
             let mut state = self.lock();
             let count = state.runs.entry(key.clone()).or_default();
             *count += 1;
             *count
         };
-        self.token_time().await;
+        self.token_time(rank).await;
         let answer = json!({
             "path": path,
             "key": key,
@@ -341,19 +346,15 @@
     }
 }
 
-/// Counts a running request for the load report and holds its batch slot.
+/// Counts a request in progress for the load report.
 struct Count {
     engine: Engine,
-    _slot: SemaphoreGuardArc,
 }
 
 impl Count {
-    fn new(engine: Engine, slot: SemaphoreGuardArc) -> Count {
+    fn new(engine: Engine) -> Count {
         engine.lock().running += 1;
-        Count {
-            engine,
-            _slot: slot,
-        }
+        Count { engine }
     }
 }
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 //! Each speaks its published protocol over loopback. They are used by `demo`,
 //! benchmarks and tests, and can be run as programs of their own.
 
+pub mod batch;
 pub mod engine;
 pub mod origin;
 pub mod platform;
