--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -102,6 +102,7 @@
                 offset: start as u64,
                 length,
                 data: blob[start..end].to_vec(),
+                digest: digest.clone(),
             })
         });
         Ok(Response::new(Box::pin(smol::stream::iter(parts))))
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,3 +1,5 @@
-//! Experiments on the real code over loopback.
+//! Experiments on the real code over loopback, and long randomised runs.
 
 pub mod fleet;
+pub mod requests;
+pub mod tables;
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,5 +1,9 @@
 //! Load and experiment tool: one subcommand an experiment.
 
+pub mod overhead;
+pub mod path;
+pub mod requests;
+
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -15,14 +19,16 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
+    Overhead(overhead::Args),
     Path(path::Args),
+    Requests(requests::Args),
 }
 
 /// Runs the experiment that the command line names.
-pub fn run(args: Args) -> eyre::Result<ExitCode> {
-    match args.experiment {
-        Experiment::Path(args) => path::run(&args),
+pub fn run(args: &Args) -> eyre::Result<ExitCode> {
+    match &args.experiment {
+        Experiment::Overhead(args) => overhead::run(args),
+        Experiment::Path(args) => path::run(args),
+        Experiment::Requests(args) => requests::run(args),
     }
 }
-
-pub mod path;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,31 +1,13 @@
-//! Commands of the operators' client, a file each.
+//! Commands of `chervilquay`, one file each.
 
 pub mod bench;
+pub mod check;
+pub mod codes;
 pub mod daemon;
+pub mod demo;
+pub mod dump;
+pub mod explain;
+pub mod fetch;
+pub mod output;
 pub mod standin;
-
-use std::process::ExitCode;
-
-use argh::FromArgs;
-
-/// Operators' client of chervilquay.
-#[derive(FromArgs)]
-pub struct Args {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
-    Bench(bench::Args),
-    Standin(standin::Args),
-}
-
-/// Runs the command that the command line names.
-pub fn run(args: Args) -> eyre::Result<ExitCode> {
-    match args.command {
-        Command::Bench(args) => bench::run(args),
-        Command::Standin(args) => standin::run(args),
-    }
-}
+pub mod status;
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -89,12 +89,12 @@
 }
 
 /// Runs the stand-in until it is told to stop.
-pub fn run(args: Args) -> eyre::Result<ExitCode> {
+pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     rt::run(THREADS, async move {
-        let running = match args.kind {
-            Kind::Platform(args) => platform(&args)?,
-            Kind::Origin(args) => origin(&args)?,
-            Kind::Engine(args) => engine(&args)?,
+        let running = match &args.kind {
+            Kind::Platform(args) => platform(args)?,
+            Kind::Origin(args) => origin(args)?,
+            Kind::Engine(args) => engine(args)?,
         };
         println!("listening {}", running.addr);
         signal::stop().await;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -199,7 +199,6 @@
         let report = Report {
             running: load.running,
             queued: load.queued,
-            wait: load.wait_ms as f64,
             taken: Millis(self.entry.node.clock.now().0.saturating_sub(load.age_ms)),
         };
         self.entry.pools.with(&self.job.route.pool, |pool| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,18 @@
 pub mod bench;
 pub mod cmd;
 pub mod config;
+pub mod demo;
 pub mod entry;
 pub mod error;
+pub mod gate;
 pub mod limit;
 pub mod log;
 pub mod macros;
+pub mod member;
+pub mod metric;
 pub mod net;
 pub mod node;
+pub mod once;
 pub mod prelude;
 #[expect(
     missing_docs,
@@ -21,9 +26,11 @@
 )]
 pub mod proto;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod sched;
 pub mod standin;
 pub mod table;
 pub mod time;
 pub mod util;
+pub mod yaml;
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -177,6 +177,7 @@
     #[prost(uint32, tag = "12")]
     pub load_failures: u32,
 }
+/// Asks for the chunk `digest` or, when it is empty, for any one of `wanted`.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChunkRequest {
     /// Chunk digest, `sha256:...`.
@@ -184,6 +185,9 @@
     pub digest: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub wait_ms: u64,
+    /// First eight bytes, big-endian, of the digests of chunks that would do.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub wanted: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChunkPart {
@@ -194,6 +198,9 @@
     pub length: u64,
     #[prost(bytes = "vec", tag = "3")]
     pub data: ::prost::alloc::vec::Vec<u8>,
+    /// Digest of the chunk that the source chose; set in the first part.
+    #[prost(string, tag = "4")]
+    pub digest: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Notice {
@@ -229,10 +236,14 @@
 pub struct Suspect {
     #[prost(bytes = "vec", tag = "1")]
     pub fingerprint: ::prost::alloc::vec::Vec<u8>,
+    /// Crashes that the sender has seen since its last clear.
     #[prost(uint32, tag = "2")]
     pub crashes: u32,
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Times that the sender has cleared the fingerprint after a success.
+    #[prost(uint32, tag = "4")]
+    pub clears: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchRequest {
--- a/src/sched/queue.rs
+++ b/src/sched/queue.rs
@@ -27,8 +27,8 @@
     pub max_running: usize,
     /// Of these, slots that long work may not take.
     pub reserved: usize,
-    /// Short requests started beyond `max_running` while short work that
-    /// turned out long holds slots; the engine runs them first by priority.
+    /// Short requests started beyond `max_running` while long work holds
+    /// slots; the engine runs them first by priority.
     pub surge: usize,
     /// Requests waiting.
     pub max_queued: usize,
@@ -43,11 +43,10 @@
 impl Settings {
     /// Bounds for an upstream that runs `max_running` requests side by side.
     pub fn new(max_running: usize, max_queued: usize) -> Settings {
-        let quarter = max_running / 4;
         Settings {
             max_running,
-            reserved: quarter,
-            surge: quarter,
+            reserved: max_running / 4,
+            surge: max_running / 2,
             max_queued,
             max_wait: Millis(1_000),
             plain: false,
@@ -266,16 +265,14 @@
     }
 
     /// Whether a short and a long request may start.
+    ///
+    /// Short work is bounded by the slots alone, as if long work were not
+    /// there: the engine lets it pass by its priority. The total is bounded.
     fn room(&self, now: Millis) -> (bool, bool) {
         let total = self.running.len();
         let long = self.running.iter().filter(|(_, r)| r.is_long(now)).count();
-        let overrun = self
-            .running
-            .iter()
-            .filter(|(_, r)| r.short && r.is_long(now));
-        let surge = overrun.count().min(self.settings.surge);
         let max = self.settings.max_running;
-        let is_short = total < max + surge;
+        let is_short = total - long < max && total < max + self.settings.surge;
         let is_long = total < max && long < max - self.settings.reserved;
         (is_short, is_long)
     }
