--- a/src/agent/booking.rs
+++ b/src/agent/booking.rs
@@ -186,6 +186,10 @@
         Ok(pass) => pass,
         Err(error) => return refused(error),
     };
+    let mut turn = match serve::enter(agent, &request).await {
+        Ok(turn) => turn,
+        Err(error) => return refused(error),
+    };
     let _active = match guard::dispatch(agent, permit, print) {
         Ok(active) => active,
         Err(error) => return refused(error),
@@ -202,7 +206,13 @@
         agent.guard.aborted().await;
         Err(serve::lost("agent stopped"))
     };
-    let ended = call(agent, request).or(late).or(stopped).await;
+    let ended = call(agent, request, turn.priority)
+        .or(late)
+        .or(stopped)
+        .await;
+    if ended.is_ok() {
+        turn.done();
+    }
     record(agent, ticket, print, ended)
 }
 
@@ -228,16 +238,16 @@
 /// Sends the call once and reads its answer whole.
 ///
 /// An error with [`Run::NotRun`] means that nothing was written to the upstream.
-async fn call(agent: &Agent, request: proto::ServeRequest) -> Result<Answer> {
+async fn call(agent: &Agent, request: proto::ServeRequest, priority: i32) -> Result<Answer> {
     let digest = request.digest.clone();
-    let message = serve::engine_request(agent, request)?;
+    let kind = agent.duty().map_or(Kind::Engine, |d| d.kind);
+    let message = serve::engine_request(agent, request, kind, priority)?;
     let answer = agent.engine.forward(message).await.map_err(serve::broken)?;
     let (response, kept) = Client::split(answer);
     let (parts, incoming) = response.into_parts();
     let body = read(incoming).await?;
     agent.engine.give_back(kept);
-    let is_engine = agent.duty().is_none_or(|d| d.kind == Kind::Engine);
-    if is_engine && parts.status.is_success() {
+    if kind == Kind::Engine && parts.status.is_success() {
         serve::check_whole(agent, &body, &digest)?;
     }
     let headers = parts
--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -59,7 +59,7 @@
         let head = proto::Head {
             status: u32::from(response.status().as_u16()),
             headers,
-            load: Some(agent.gate.load()),
+            load: Some(agent.queue.load()),
         };
         self.send(FrameKind::Head(head)).await
     }
@@ -79,9 +79,12 @@
     }
 
     /// Ends the answer cleanly.
-    pub async fn done(&mut self) -> Result<()> {
-        let length = self.length;
-        self.send(FrameKind::Done(proto::Done { length })).await
+    pub async fn done(&mut self, took: Millis) -> Result<()> {
+        let done = proto::Done {
+            length: self.length,
+            run_ms: took.0,
+        };
+        self.send(FrameKind::Done(done)).await
     }
 
     /// Ends the answer with an error.
@@ -134,12 +137,14 @@
     let head = proto::Head {
         status: u32::from(answer.status),
         headers: headers.collect(),
-        load: Some(agent.gate.load()),
+        load: Some(agent.queue.load()),
     };
     let parts = answer.body.chunks(PART_LEN);
     let data = parts.map(|part| FrameKind::Data(part.to_vec()));
-    let length = answer.body.len() as u64;
-    let done = FrameKind::Done(proto::Done { length });
+    let done = FrameKind::Done(proto::Done {
+        length: answer.body.len() as u64,
+        ..proto::Done::default()
+    });
     [FrameKind::Head(head)]
         .into_iter()
         .chain(data)
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 pub mod frames;
 pub mod guard;
 pub mod load;
+pub mod queue;
 pub mod rpc;
 pub mod serve;
 pub mod weights;
@@ -22,6 +23,7 @@
 use crate::agent::engine::Engine;
 use crate::agent::guard::Guard;
 use crate::agent::load::Loaded;
+use crate::agent::queue::Queue;
 use crate::agent::serve::Gate;
 use crate::agent::weights::Weights;
 use crate::config::AgentSettings;
@@ -61,6 +63,8 @@
     pub runs: Runs,
     /// Key with which tickets are signed.
     pub secret: Secret,
+    /// Requests waiting for the upstream.
+    pub queue: Queue,
 }
 
 /// Random low bits of an incarnation, so that two starts in one millisecond differ.
@@ -101,6 +105,7 @@
             weights: Weights::new(settings.staging_mb << 20),
             loaded: Loaded::default(),
             gate: Gate::new(settings.max_running + settings.max_queued),
+            queue: Queue::new(&settings),
             settings: Arc::new(settings),
             node,
         }
@@ -129,13 +134,14 @@
         let watch = rt::spawn(platform::watch(self.node.clone()));
         let keep = rt::spawn(load::keep(self.clone()));
         let tick = rt::spawn(guard::keep(self.clone()));
+        let queue = rt::spawn(self.queue.clone().run());
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed.clone()));
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed));
         slog::info!(self.node.log, "agent: started"; "rpc" => %self.node.settings.rpc);
         let _ = stop.recv().await;
         self.finish(closer).await;
         rpc_task.await;
-        drop((admin_task, keep, watch, tick));
+        drop((admin_task, keep, queue, watch, tick));
         Ok(())
     }
 
@@ -199,6 +205,7 @@
             "gate": self.gate.dump(),
             "guard": self.guard.dump(),
             "suspects": self.node.suspects.len(),
+            "queue": self.queue.dump(),
         })
     }
 }
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -84,7 +84,7 @@
             serving: digest.is_some(),
             digest: digest.unwrap_or_default(),
             leaving: agent.guard.is_leaving(),
-            load: Some(agent.gate.load()),
+            load: Some(agent.queue.load()),
             ..proto::StateReply::default()
         }))
     }
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -12,6 +12,7 @@
 use smol::channel::Sender;
 
 use crate::agent::Agent;
+use crate::agent::queue::Queue;
 use crate::config;
 use crate::config::AgentSettings;
 use crate::config::EntrySettings;
@@ -21,6 +22,8 @@
 use crate::net::client::Client;
 use crate::net::rt;
 use crate::prelude::*;
+use crate::route::choose::Policy;
+use crate::sched;
 use crate::standin::Running;
 use crate::standin::engine;
 use crate::standin::engine::Behaviour;
@@ -51,6 +54,14 @@
     pub behaviour: Behaviour,
     /// Seed of the weights.
     pub seed: u64,
+    /// How entries choose; under a baseline, agents queue in order of arrival.
+    pub policy: Policy,
+    /// Requests in progress at one upstream.
+    pub max_running: usize,
+    /// Requests waiting for one upstream.
+    pub max_queued: usize,
+    /// Routes beside those of the fleet, by name.
+    pub routes: Value,
 }
 
 impl Default for Plan {
@@ -64,6 +75,10 @@
             chunk_len: 256 << 10,
             behaviour: Behaviour::default(),
             seed: 1,
+            policy: Policy::Expected,
+            max_running: 16,
+            max_queued: 256,
+            routes: json!({}),
         }
     }
 }
@@ -200,7 +215,7 @@
             published.revision += 1;
             published.clone()
         };
-        let routes = json!({
+        let mut routes = json!({
             "revision": revision,
             "routes": {
                 "assistant": { "path": "/v1/completions", "pool": "assistant",
@@ -211,6 +226,9 @@
                     "class": "short", "repeat": "safe", "deadline_ms": 10_000 },
             },
         });
+        for (name, route) in self.plan.routes.as_object().into_iter().flatten() {
+            routes["routes"][name] = route.clone();
+        }
         let (engines, services) = self.agents.split_at(self.plan.engines);
         let pools = json!({
             "revision": revision,
@@ -419,11 +437,15 @@
         upstream: running.addr,
         origin,
         staging_mb: 256,
-        max_running: 16,
-        max_queued: 256,
+        max_running: plan.max_running,
+        max_queued: plan.max_queued,
     };
     let (rpc, admin) = (settings.node.rpc, settings.node.admin);
-    let agent = Agent::new(settings, log::discard());
+    let mut agent = Agent::new(settings, log::discard());
+    if plan.policy != Policy::Expected {
+        let plain = sched::Settings::plain(plan.max_running, plan.max_queued);
+        agent.queue = Queue::with_settings(plain);
+    }
     let (stop, stopped) = channel::bounded(1);
     let task = rt::spawn(agent.clone().run(stopped));
     Ok(AgentVm {
@@ -448,7 +470,7 @@
         head_ms: 10_000,
     };
     let (http, admin) = (settings.http, settings.node.admin);
-    let entry = Entry::new(settings, log::discard());
+    let entry = Entry::with_policy(settings, log::discard(), plan.policy);
     let (stop, stopped) = channel::bounded(1);
     let task = rt::spawn(entry.clone().run(stopped));
     Ok(EntryVm {
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,6 +1,8 @@
 //! Load and experiment tool: one subcommand an experiment.
 
+pub mod overhead;
 pub mod path;
+pub mod requests;
 
 use std::process::ExitCode;
 
@@ -17,12 +19,16 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
+    Overhead(overhead::Args),
     Path(path::Args),
+    Requests(requests::Args),
 }
 
 /// Runs the experiment that the command line names.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     match &args.experiment {
+        Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
+        Experiment::Requests(args) => requests::run(args),
     }
 }
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -13,35 +13,33 @@
 use crate::route::subset::Member;
 use crate::time::Millis;
 
-/// Requests that an upstream is taken to run side by side.
-///
-/// Only the ratio between upstreams matters for the choice, so one figure for
-/// all pools is enough.
-const WIDTH: f64 = 8.0;
-
-/// Share of long work that delays short work: agents keep room for short work,
-/// so it shares the engine's batch but not its queue.
-const LONG_WEIGHT: f64 = 0.25;
+/// Weight of a long call in the load that short work sees: agents keep room
+/// for short work, so long calls delay it less than short ones.
+const LONG_WEIGHT: f64 = 0.5;
 
 /// Weight of the newest response in the moving average of the pace.
 const PACE_WEIGHT: f64 = 0.05;
 
-/// Age at which a load report counts half.
+/// Time in which an unusual pace is half forgotten. An upstream that is avoided
+/// for its pace gets no calls that would correct it.
+const PACE_HALF: f64 = 500.0;
+
+/// Age at which the reported load of other entries counts half.
 const REPORT_HALF: f64 = 300.0;
 
 /// Most that a prefix match may lower a score; a popular prefix must not
 /// overload its holder.
 const AFFINITY_BOUND: f64 = 0.3;
 
-/// Extra score of an upstream in another zone: the round trip and the
-/// engine time that its own zone then lacks.
-const REMOTE_PENALTY: f64 = 10.0;
+/// Calls in progress by which an upstream of the own zone must be busier before
+/// another zone is used: the round trip and the room that its own zone lacks.
+const REMOTE_PENALTY: f64 = 4.0;
 
 /// Scores within this ratio of the best are equal; the draw among them keeps
 /// entries with like views from choosing alike.
 const TIE: f64 = 1.02;
 
-/// A call that runs this many times longer than expected is taken as long work.
+/// A response counts as at most this many times the expected one.
 const OVERRUN: f64 = 4.0;
 
 common! { value
@@ -65,8 +63,6 @@
     pub running: u32,
     /// Requests waiting.
     pub queued: u32,
-    /// Expected wait of a new short request, in milliseconds.
-    pub wait: f64,
     /// When the load was measured.
     pub taken: Millis,
 }
@@ -79,7 +75,6 @@
     cost: f64,
     short: bool,
     sent: Millis,
-    overrun: bool,
     begun: bool,
     prefix: Option<u64>,
 }
@@ -124,10 +119,11 @@
     pub calls: u32,
     pub(crate) window: Window,
     pub(crate) failures: u32,
-    owed_short: f64,
-    owed_long: f64,
+    long_calls: u32,
     pace: f64,
-    report: Option<Report>,
+    paced: Millis,
+    others: f64,
+    reported: Millis,
     busy: Millis,
 }
 
@@ -141,10 +137,11 @@
             calls: 0,
             window: Window::default(),
             failures: 0,
-            owed_short: 0.0,
-            owed_long: 0.0,
+            long_calls: 0,
             pace: 1.0,
-            report: None,
+            paced: Millis(0),
+            others: 0.0,
+            reported: Millis(0),
             busy: Millis(0),
         }
     }
@@ -154,28 +151,48 @@
         self.ready && self.busy <= now && self.health.admits(ask.repeatable)
     }
 
-    /// Expected time until the request is done, in milliseconds.
+    /// Load that the request would meet, times the pace of the upstream.
+    ///
+    /// Calls are counted and not weighed by cost: each holds one place in the
+    /// engine's batch, however long it runs.
     fn score(&self, now: Millis, ask: &Ask) -> f64 {
-        let owed = if ask.short {
-            self.owed_short + LONG_WEIGHT * self.owed_long
-        } else {
-            self.owed_short + self.owed_long
-        };
-        let mut score = self.pace * (ask.cost + owed.max(0.0) / WIDTH);
-        if let Some(report) = &self.report {
-            let age = now.since(report.taken).0 as f64;
-            score += report.wait * REPORT_HALF / (REPORT_HALF + age);
-        }
-        if !self.local {
-            score += REMOTE_PENALTY;
-        }
-        score
+        let long = if ask.short { LONG_WEIGHT } else { 1.0 };
+        let short_calls = f64::from(self.calls - self.long_calls);
+        let own = short_calls + long * f64::from(self.long_calls);
+        let age = now.since(self.reported).0 as f64;
+        let others = self.others * long.midpoint(1.0) * REPORT_HALF / (REPORT_HALF + age);
+        let remote = if self.local { 0.0 } else { REMOTE_PENALTY };
+        self.pace_at(now) * (1.0 + own + others + remote)
+    }
+
+    /// Response time relative to the expected one, forgotten with time.
+    fn pace_at(&self, now: Millis) -> f64 {
+        let age = now.since(self.paced).0 as f64;
+        1.0 + (self.pace - 1.0) * PACE_HALF / (PACE_HALF + age)
     }
 }
 
+common! { key
+/// How an upstream is chosen; all but the first are baselines for benchmarks.
+#[derive(Default)]
+pub enum Policy {
+    /// Lowest expected time, with ejection and affinity.
+    #[default]
+    Expected,
+    /// In turn.
+    RoundRobin,
+    /// Fewest calls in progress from this entry.
+    LeastRequests,
+    /// The one with fewer calls in progress of two drawn at random.
+    RandomTwo,
+}
+}
+
 /// The upstreams of one pool in this entry's subset.
 #[derive(Debug)]
 pub struct Chooser {
+    policy: Policy,
+    turn: usize,
     upstreams: Arena<Upstream>,
     calls: Arena<Call>,
     /// Prefixes and their likely holders.
@@ -187,7 +204,14 @@
 impl Chooser {
     /// A chooser without upstreams.
     pub fn new(seed: u64) -> Chooser {
+        Chooser::with_policy(seed, Policy::Expected)
+    }
+
+    /// A chooser without upstreams that chooses by `policy`.
+    pub fn with_policy(seed: u64, policy: Policy) -> Chooser {
         Chooser {
+            policy,
+            turn: 0,
             upstreams: Arena::default(),
             calls: Arena::default(),
             affinity: Affinity::default(),
@@ -262,6 +286,9 @@
         ask: &Ask,
         without: &[Key<Upstream>],
     ) -> Option<Key<Upstream>> {
+        if self.policy != Policy::Expected {
+            return self.pick_plain(now, ask, without);
+        }
         if let Some(probe) = self.probe(now, ask, without) {
             return Some(probe);
         }
@@ -273,8 +300,8 @@
             let belief = ask
                 .prefix
                 .map_or(0.0, |p| self.affinity.belief(now, p, key));
-            let bonus = AFFINITY_BOUND * belief * ask.cost;
-            scored.push(((upstream.score(now, ask) - bonus).max(0.01), key));
+            let factor = 1.0 - AFFINITY_BOUND * belief;
+            scored.push((upstream.score(now, ask) * factor, key));
         }
         let best = scored
             .iter()
@@ -285,6 +312,41 @@
         Some(scored[index].1)
     }
 
+    /// The choice of a baseline policy.
+    fn pick_plain(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        without: &[Key<Upstream>],
+    ) -> Option<Key<Upstream>> {
+        let open = self.upstreams.iter();
+        let open = open.filter(|(key, u)| !without.contains(key) && u.open(now, ask));
+        let open: Vec<_> = open.map(|(key, u)| (u.calls, key)).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let count = open.len();
+        let least = |set: &[(u32, Key<Upstream>)]| {
+            let best = set.iter().min_by_key(|(calls, _)| *calls);
+            best.map(|(_, key)| *key)
+        };
+        self.turn += 1;
+        match self.policy {
+            Policy::Expected | Policy::RoundRobin => Some(open[self.turn % count].1),
+            // The search starts at another place each time, so that ties are spread.
+            Policy::LeastRequests => {
+                let mut turned = open;
+                turned.rotate_left(self.turn % count);
+                least(&turned)
+            }
+            Policy::RandomTwo => {
+                let a = self.rng.usize(0..count);
+                let b = (a + self.rng.usize(1..count.max(2))) % count;
+                least(&[open[a], open[b]])
+            }
+        }
+    }
+
     /// An ejected upstream whose turn to be probed has come.
     fn probe(&self, now: Millis, ask: &Ask, without: &[Key<Upstream>]) -> Option<Key<Upstream>> {
         if !ask.repeatable || !ask.short {
@@ -302,14 +364,13 @@
     pub fn sent(&mut self, now: Millis, key: Key<Upstream>, ask: &Ask) -> Option<Key<Call>> {
         let upstream = self.upstreams.get_mut(key)?;
         upstream.calls += 1;
-        *upstream.owed(ask.short) += ask.cost;
+        upstream.long_calls += u32::from(!ask.short);
         upstream.health.on_sent();
         Some(self.calls.insert(Call {
             upstream: key,
             cost: ask.cost,
             short: ask.short,
             sent: now,
-            overrun: false,
             begun: false,
             prefix: ask.prefix,
         }))
@@ -340,11 +401,7 @@
         if let Some(upstream) = self.upstreams.get_mut(call.upstream) {
             assert!(upstream.calls > 0, "a call ends once");
             upstream.calls -= 1;
-            *upstream.owed(call.short && !call.overrun) -= call.cost;
-            if upstream.calls == 0 {
-                // Sums of floats drift; an idle upstream owes nothing.
-                (upstream.owed_short, upstream.owed_long) = (0.0, 0.0);
-            }
+            upstream.long_calls -= u32::from(!call.short);
             upstream.note(now, &call, outcome);
         }
         if outcome == Outcome::Done
@@ -355,15 +412,16 @@
         Some(call)
     }
 
-    /// Takes over a load report if it is newer than the one held.
+    /// Takes over a load report if it is newer than the one held; what exceeds
+    /// the own calls is the load of other entries.
     pub fn report(&mut self, key: Key<Upstream>, report: Report) {
-        if let Some(upstream) = self.upstreams.get_mut(key)
-            && upstream
-                .report
-                .as_ref()
-                .is_none_or(|held| held.taken <= report.taken)
-        {
-            upstream.report = Some(report);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if upstream.reported <= report.taken {
+            let all = report.running + report.queued;
+            upstream.others = f64::from(all.saturating_sub(upstream.calls));
+            upstream.reported = report.taken;
         }
     }
 
@@ -373,21 +431,10 @@
         ready.map(|(_, u)| u.busy.max(now)).min()
     }
 
-    /// Moves costs of calls that overran to long work, and ejects and readmits.
+    /// Ejects slow upstreams and readmits them.
     pub fn tick(&mut self, now: Millis) {
-        for (_, call) in self.calls.iter_mut() {
-            let elapsed = now.since(call.sent).0 as f64;
-            if call.overrun || elapsed < OVERRUN * call.cost {
-                continue;
-            }
-            call.overrun = true;
-            let Some(upstream) = self.upstreams.get_mut(call.upstream) else {
-                continue;
-            };
-            *upstream.owed(call.short) -= call.cost;
-            // Work that has run for long will probably run as long again.
-            call.cost = elapsed;
-            upstream.owed_long += elapsed;
+        if self.policy != Policy::Expected {
+            return;
         }
         let overdue = self.overdue(now);
         self.ejector.tick(now, &mut self.upstreams, &overdue);
@@ -403,14 +450,6 @@
 }
 
 impl Upstream {
-    fn owed(&mut self, short: bool) -> &mut f64 {
-        if short {
-            &mut self.owed_short
-        } else {
-            &mut self.owed_long
-        }
-    }
-
     fn note(&mut self, now: Millis, call: &Call, outcome: Outcome) {
         match outcome {
             Outcome::Done => {
@@ -418,7 +457,9 @@
                 let ratio = elapsed.max(0.5) / call.cost.max(0.5);
                 // One straggler must not mark its upstream as slow.
                 let ratio = ratio.min(OVERRUN);
-                self.pace += PACE_WEIGHT * (ratio - self.pace);
+                let pace = self.pace_at(now);
+                self.pace = pace + PACE_WEIGHT * (ratio.max(1.0) - pace);
+                self.paced = now;
                 self.window.add(Signal::Response, ratio);
                 self.failures = 0;
             }
--- a/src/route/flight.rs
+++ b/src/route/flight.rs
@@ -20,6 +20,9 @@
 /// Retry-After when nothing better is known.
 const RETRY_AFTER: Millis = Millis(1_000);
 
+/// Time for which an upstream that refused gets nothing, if it gave none.
+const CLOSED: Millis = Millis(250);
+
 /// Part of an answer as it comes from an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Piece<H> {
@@ -76,6 +79,9 @@
     /// None once it has ended.
     call: Option<Key<Call>>,
     reorder: Reorder<Piece<H>>,
+    /// Held until the first part of the body: engines answer with a head at
+    /// once, so the head says nothing about how soon the answer comes.
+    head: Option<H>,
     last: Option<Millis>,
 }
 
@@ -136,6 +142,12 @@
         self.winner.map(|index| index as u32 + 1)
     }
 
+    /// Where an attempt runs, while it does.
+    pub fn upstream(&self, attempt: u32) -> Option<Key<Upstream>> {
+        let index = self.open(attempt)?;
+        Some(self.attempts[index].upstream)
+    }
+
     /// Time of the next call of [`Flight::tick`].
     pub fn wake(&self) -> Millis {
         let times = [Some(self.plan.deadline), self.hedge, self.again];
@@ -192,7 +204,7 @@
         };
         let outcome = match (error.run, error.code) {
             (Run::NotRun, Code::UpstreamBusy) => Outcome::Busy,
-            (Run::NotRun, _) => Outcome::Refused(now.plus(error.retry.unwrap_or(RETRY_AFTER))),
+            (Run::NotRun, _) => Outcome::Refused(now.plus(error.retry.unwrap_or(CLOSED))),
             _ => Outcome::Failed,
         };
         self.close(now, index, outcome, router);
@@ -281,6 +293,7 @@
             upstream,
             call,
             reorder: Reorder::default(),
+            head: None,
             last: None,
         });
         let first = self.attempts.len() == 1;
@@ -303,31 +316,25 @@
         router: &mut Router,
         out: &mut Vec<Action<H>>,
     ) {
-        if self.winner.is_none() {
-            self.win(now, index, router, out);
-        }
-        assert_eq!(self.winner, Some(index), "answers are never mixed");
+        let number = index as u32 + 1;
+        let attempt = &mut self.attempts[index];
+        let is_headed = attempt.head.is_some() || self.winner == Some(index);
         match piece {
-            Piece::Head(head) if !self.headed => {
-                self.headed = true;
-                out.push(Action::Head(head));
-            }
-            Piece::Data(bytes) if self.headed => {
+            Piece::Head(_) if is_headed => self.refuse(now, number, "second head", router, out),
+            Piece::Head(head) => attempt.head = Some(head),
+            _ if !is_headed => self.refuse(now, number, "no head", router, out),
+            Piece::Data(bytes) => {
+                self.win(now, index, router, out);
                 self.observe(now, index, router);
                 self.given += bytes.len() as u64;
                 out.push(Action::Data(bytes));
             }
-            Piece::Done(length) if self.headed && length == self.given => {
+            Piece::Done(length) if length == self.given => {
+                self.win(now, index, router, out);
                 self.close(now, index, Outcome::Done, router);
                 self.finish(now, Action::End, router, out);
             }
-            Piece::Head(_) => self.refuse(now, index as u32 + 1, "second head", router, out),
-            Piece::Data(_) => {
-                self.refuse(now, index as u32 + 1, "data before the head", router, out)
-            }
-            Piece::Done(_) => {
-                self.refuse(now, index as u32 + 1, "end at another length", router, out)
-            }
+            Piece::Done(_) => self.refuse(now, number, "end at another length", router, out),
         }
     }
 
@@ -346,13 +353,22 @@
         self.on_fail(now, attempt, error, router, out);
     }
 
-    /// Makes one attempt the answer and cancels the others.
+    /// Makes one attempt the answer, gives out its head and cancels the others.
     fn win(&mut self, now: Millis, index: usize, router: &mut Router, out: &mut Vec<Action<H>>) {
+        if self.winner.is_some() {
+            assert_eq!(self.winner, Some(index), "answers are never mixed");
+            return;
+        }
         self.winner = Some(index);
         (self.hedge, self.again) = (None, None);
         if let Some(call) = self.attempts[index].call {
             router.begun(now, call, self.plan.ask.short);
         }
+        if let Some(head) = self.attempts[index].head.take() {
+            self.headed = true;
+            out.push(Action::Head(head));
+        }
+        assert!(self.headed, "an answer starts with its head");
         for other in 0..self.attempts.len() {
             if other != index {
                 self.drop_attempt(now, other, router, out);
--- a/src/sched/queue.rs
+++ b/src/sched/queue.rs
@@ -27,26 +27,41 @@
     pub max_running: usize,
     /// Of these, slots that long work may not take.
     pub reserved: usize,
-    /// Short requests started beyond `max_running` while short work that
-    /// turned out long holds slots; the engine runs them first by priority.
+    /// Short requests started beyond `max_running` while long work holds
+    /// slots; the engine runs them first by priority.
     pub surge: usize,
     /// Requests waiting.
     pub max_queued: usize,
     /// Expected time in which the queue is worked off, at most.
     pub max_wait: Millis,
+    /// True for order of arrival without classes and shares: the baseline of
+    /// benchmarks.
+    pub plain: bool,
 }
 }
 
 impl Settings {
     /// Bounds for an upstream that runs `max_running` requests side by side.
     pub fn new(max_running: usize, max_queued: usize) -> Settings {
-        let quarter = max_running / 4;
         Settings {
             max_running,
-            reserved: quarter,
-            surge: quarter,
+            reserved: max_running / 4,
+            surge: max_running / 2,
             max_queued,
             max_wait: Millis(1_000),
+            plain: false,
+        }
+    }
+
+    /// Order of arrival, refusing the newest when full.
+    pub fn plain(max_running: usize, max_queued: usize) -> Settings {
+        Settings {
+            max_running,
+            reserved: 0,
+            surge: 0,
+            max_queued,
+            max_wait: Millis(u64::MAX),
+            plain: true,
         }
     }
 }
@@ -134,7 +149,8 @@
 impl<T> Queue<T> {
     /// An empty queue.
     pub fn new(settings: Settings) -> Queue<T> {
-        assert!(settings.reserved < settings.max_running.max(1));
+        assert!(settings.max_running > 0, "an upstream runs something");
+        assert!(settings.reserved < settings.max_running);
         Queue {
             settings,
             waiting: Vec::new(),
@@ -147,8 +163,12 @@
     /// furthest over its share is refused, its most expensive first.
     pub fn push(&mut self, now: Millis, job: Job<T>) -> Push<T> {
         self.shares.enter(&job.org, job.weight);
-        let patience = Millis(job.deadline.since(now).0 / PATIENCE);
-        let order = now.0 as f64 + AGEING * job.cost;
+        let (patience, ageing) = match self.settings.plain {
+            true => (1, 0.0),
+            false => (PATIENCE, AGEING),
+        };
+        let patience = Millis(job.deadline.since(now).0 / patience);
+        let order = now.0 as f64 + ageing * job.cost;
         self.waiting.push(Waiting {
             since: now,
             give_up: now.plus(patience),
@@ -245,16 +265,14 @@
     }
 
     /// Whether a short and a long request may start.
+    ///
+    /// Short work is bounded by the slots alone, as if long work were not
+    /// there: the engine lets it pass by its priority. The total is bounded.
     fn room(&self, now: Millis) -> (bool, bool) {
         let total = self.running.len();
         let long = self.running.iter().filter(|(_, r)| r.is_long(now)).count();
-        let overrun = self
-            .running
-            .iter()
-            .filter(|(_, r)| r.short && r.is_long(now));
-        let surge = overrun.count().min(self.settings.surge);
         let max = self.settings.max_running;
-        let is_short = total < max + surge;
+        let is_short = total - long < max && total < max + self.settings.surge;
         let is_long = total < max && long < max - self.settings.reserved;
         (is_short, is_long)
     }
@@ -264,6 +282,9 @@
     fn next(&self, short: bool, long: bool) -> Option<usize> {
         let eligible = |w: &&Waiting<T>| if w.job.short { short } else { long };
         let orders = self.waiting.iter().filter(eligible);
+        if self.settings.plain {
+            return (short && !self.waiting.is_empty()).then_some(0);
+        }
         let first = orders.min_by(|a, b| a.order.total_cmp(&b.order))?;
         let class = first.job.short;
         let mut best: Option<(f64, f64, usize)> = None;
@@ -287,6 +308,9 @@
 
     /// Index of the request that is refused when the queue is full.
     fn victim(&self) -> usize {
+        if self.settings.plain {
+            return self.waiting.len() - 1;
+        }
         let mut owed: indexmap::IndexMap<&str, f64> = indexmap::IndexMap::new();
         for waiting in &self.waiting {
             let org = waiting.job.org.as_str();
