route: Split the choice and the request state into smaller modules

The upstream with its score is now in upstream.rs, the actions and pieces are in action.rs. No change in behaviour.

--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -20,10 +20,10 @@
 use crate::route::Ask;
 use crate::route::Flight;
 use crate::route::Upstream;
-use crate::route::choose::Report;
-use crate::route::flight::Action;
-use crate::route::flight::Piece;
-use crate::route::flight::Plan;
+use crate::route::action::Action;
+use crate::route::action::Piece;
+use crate::route::action::Plan;
+use crate::route::upstream::Report;
 use crate::table::doc::Repeat;
 
 /// Frames of an attempt that wait here before its stream is held back.
--- a/src/route/affinity.rs
+++ b/src/route/affinity.rs
@@ -4,7 +4,7 @@
 
 use crate::arena::Key;
 use crate::common;
-use crate::route::choose::Upstream;
+use crate::route::upstream::Upstream;
 use crate::time::Millis;
 
 /// Prefixes remembered; the oldest goes first.
--- a/src/route/eject.rs
+++ b/src/route/eject.rs
@@ -3,7 +3,7 @@
 use crate::arena::Arena;
 use crate::arena::Key;
 use crate::common;
-use crate::route::choose::Upstream;
+use crate::route::upstream::Upstream;
 use crate::time::Millis;
 
 /// Length of one bucket of a sample window.
--- a/src/route/flight.rs
+++ b/src/route/flight.rs
@@ -1,20 +1,19 @@
 //! One request at the entry: its attempts, and exactly one whole answer.
 
-use bytes::Bytes;
-
 use crate::arena::Key;
-use crate::common;
 use crate::error::Code;
 use crate::error::Error;
 use crate::error::Run;
 use crate::retry;
 use crate::retry::Backoff;
-use crate::route::choose::Ask;
-use crate::route::choose::Call;
-use crate::route::choose::Outcome;
-use crate::route::choose::Upstream;
+use crate::route::action::Action;
+use crate::route::action::Piece;
+use crate::route::action::Plan;
 use crate::route::reorder::Reorder;
 use crate::route::router::Router;
+use crate::route::upstream::Call;
+use crate::route::upstream::Outcome;
+use crate::route::upstream::Upstream;
 use crate::time::Millis;
 
 /// Retry-After when nothing better is known.
@@ -23,56 +22,6 @@
 /// Time for which an upstream that refused gets nothing, if it gave none.
 const CLOSED: Millis = Millis(250);
 
-/// Part of an answer as it comes from an upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Piece<H> {
-    /// Status and headers.
-    Head(H),
-    /// Part of the body.
-    Data(Bytes),
-    /// End, with the length of the whole body.
-    Done(u64),
-}
-
-/// What the entry is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action<H> {
-    /// Send the request to an upstream.
-    Send {
-        /// Attempt number, from 1.
-        attempt: u32,
-        /// Where to.
-        upstream: Key<Upstream>,
-        /// Time left until the deadline.
-        remaining: Millis,
-    },
-    /// Cancel an attempt at its upstream.
-    Cancel {
-        /// Attempt number.
-        attempt: u32,
-        /// Where it runs.
-        upstream: Key<Upstream>,
-    },
-    /// Give status and headers to the caller.
-    Head(H),
-    /// Give part of the body to the caller.
-    Data(Bytes),
-    /// End of the whole answer.
-    End,
-    /// The request failed; the last action.
-    Fail(Error),
-}
-
-common! { value
-/// What is fixed about a request when it arrives.
-pub struct Plan {
-    /// Needs of the request.
-    pub ask: Ask,
-    /// Time at which it is given up.
-    pub deadline: Millis,
-}
-}
-
 #[derive(Clone, Debug)]
 struct Attempt<H> {
     upstream: Key<Upstream>,
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! Choice of an upstream, ejection of slow ones, attempts of one request.
 
+pub mod action;
 pub mod affinity;
 pub mod choose;
 pub mod cost;
@@ -9,12 +10,16 @@
 pub mod reorder;
 pub mod router;
 pub mod subset;
+pub mod upstream;
 
-pub use choose::Ask;
-pub use choose::Call;
 pub use choose::Chooser;
-pub use choose::Upstream;
+pub use choose::Policy;
 pub use flight::Flight;
 pub use reorder::Reorder;
 pub use router::Router;
 pub use subset::Member;
+pub use upstream::Ask;
+pub use upstream::Call;
+pub use upstream::Outcome;
+pub use upstream::Report;
+pub use upstream::Upstream;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -5,12 +5,12 @@
 use crate::arena::Key;
 use crate::retry;
 use crate::retry::Budget;
-use crate::route::choose::Ask;
-use crate::route::choose::Call;
 use crate::route::choose::Chooser;
-use crate::route::choose::Outcome;
 use crate::route::choose::Policy;
 use crate::route::hedge::Delay;
+use crate::route::upstream::Ask;
+use crate::route::upstream::Call;
+use crate::route::upstream::Outcome;
 use crate::time::Millis;
 
 /// Extra attempts allowed before any request was counted.
--- a/tests/route_choice.rs
+++ b/tests/route_choice.rs
@@ -6,9 +6,9 @@
 use chervilquay::route::Member;
 use chervilquay::route::affinity::CacheChange;
 use chervilquay::route::affinity::CacheEvent;
-use chervilquay::route::choose::Outcome;
-use chervilquay::route::choose::Report;
 use chervilquay::route::subset;
+use chervilquay::route::upstream::Outcome;
+use chervilquay::route::upstream::Report;
 
 const NOW: Millis = Millis(1_000);
 
