agent, entry: Bound the exit, tell unsent calls apart, size the ledger

- A call for which there was no connection is reported as not run, so that a booking without a key goes to another upstream.
Before, the death of one agent made such calls unknown.
- An answer that has started is never reported as not run.
- The kind of upstream is taken from the permit: a service that left the tables while it ran a booking was checked for fingerprints like an engine, and its outcome was lost.
- max_keys and answers_mb bound the ledger.

--- a/src/agent/booking.rs
+++ b/src/agent/booking.rs
@@ -23,7 +23,6 @@
 use crate::once::Ticket;
 use crate::prelude::*;
 use crate::proto;
-use crate::table::doc::Kind;
 
 /// Largest answer that is forwarded, in bytes; the ledger keeps smaller ones only.
 const MAX_ANSWER: usize = 4 << 20;
@@ -202,7 +201,10 @@
         agent.guard.aborted().await;
         Err(serve::lost("agent stopped"))
     };
-    let ended = call(agent, request).or(late).or(stopped).await;
+    let ended = call(agent, request, permit.is_service())
+        .or(late)
+        .or(stopped)
+        .await;
     record(agent, ticket, print, ended)
 }
 
@@ -228,7 +230,7 @@
 /// Sends the call once and reads its answer whole.
 ///
 /// An error with [`Run::NotRun`] means that nothing was written to the upstream.
-async fn call(agent: &Agent, request: proto::ServeRequest) -> Result<Answer> {
+async fn call(agent: &Agent, request: proto::ServeRequest, is_service: bool) -> Result<Answer> {
     let digest = request.digest.clone();
     let message = serve::engine_request(agent, request)?;
     let answer = agent.engine.forward(message).await.map_err(serve::broken)?;
@@ -236,8 +238,7 @@
     let (parts, incoming) = response.into_parts();
     let body = read(incoming).await?;
     agent.engine.give_back(kept);
-    let is_engine = agent.duty().is_none_or(|d| d.kind == Kind::Engine);
-    if is_engine && parts.status.is_success() {
+    if !is_service && parts.status.is_success() {
         serve::check_whole(agent, &body, &digest)?;
     }
     let headers = parts
--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -86,8 +86,9 @@
 
     /// Ends the answer with an error.
     pub async fn fail(&mut self, agent: &Agent, error: Error) {
+        // An answer that has started was run, whatever the error says.
         let run = match (error.run, self.seq) {
-            (Run::NotRun, _) => proto::Run::NotRun,
+            (Run::NotRun, 0) => proto::Run::NotRun,
             (_, 0) => proto::Run::Unknown,
             _ => proto::Run::Partial,
         };
--- a/src/agent/guard.rs
+++ b/src/agent/guard.rs
@@ -10,6 +10,7 @@
 use smol::channel::Sender;
 
 use crate::agent::Agent;
+use crate::config::AgentSettings;
 use crate::gate;
 use crate::gate::Ask;
 use crate::gate::Own;
@@ -89,11 +90,16 @@
 
 impl Guard {
     /// The state of a fresh incarnation.
-    pub fn new(name: &str, incarnation: u64, now: Millis) -> Guard {
+    pub fn new(settings: &AgentSettings, incarnation: u64, now: Millis) -> Guard {
         let (abort, aborted) = smol::channel::bounded(1);
+        let limits = Limits {
+            records: settings.max_keys,
+            bytes: settings.answers_mb << 20,
+            ..Limits::default()
+        };
         let core = Core {
             gate: gate::Gate::new(now),
-            ledger: Ledger::new(name, incarnation, Limits::default()),
+            ledger: Ledger::new(&settings.node.name, incarnation, limits),
             drain: Drain::new(DEFAULT_DRAIN),
             local: Suspects::default(),
             reported: IndexMap::new(),
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -17,6 +17,7 @@
 use smol::channel;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use smol::future::FutureExt;
 
 use crate::agent::booking::Runs;
 use crate::agent::engine::Engine;
@@ -25,6 +26,7 @@
 use crate::agent::serve::Gate;
 use crate::agent::weights::Weights;
 use crate::config::AgentSettings;
+use crate::gate::drain::HANDOVER;
 use crate::net::body::BoxBody;
 use crate::net::rt;
 use crate::net::server;
@@ -94,7 +96,7 @@
         let incarnation = (start << INCARNATION_BITS) | random;
         Agent {
             incarnation,
-            guard: Guard::new(&node.settings.name, incarnation, node.clock.now()),
+            guard: Guard::new(&settings, incarnation, node.clock.now()),
             runs: Runs::default(),
             secret: Secret::new(&node.settings.secret),
             engine: Arc::new(Engine::new(settings.upstream)),
@@ -134,7 +136,11 @@
         slog::info!(self.node.log, "agent: started"; "rpc" => %self.node.settings.rpc);
         let _ = stop.recv().await;
         self.finish(closer).await;
-        rpc_task.await;
+        let late = async {
+            smol::Timer::after(HANDOVER.duration()).await;
+        };
+        // A peer that has stopped reading must not hold up the exit.
+        rpc_task.or(late).await;
         drop((admin_task, keep, watch, tick));
         Ok(())
     }
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -173,7 +173,10 @@
     let message = engine_request(agent, request)?;
     // The state may have changed since the request was admitted.
     let _active = guard::dispatch(agent, &permit, frames.print())?;
-    let kind = agent.duty().map_or(Kind::Engine, |d| d.kind);
+    let kind = match permit.is_service() {
+        true => Kind::Service,
+        false => Kind::Engine,
+    };
     let answer = agent.engine.forward(message).await.map_err(broken);
     let (response, kept) = Client::split(answer?);
     if kind == Kind::Engine && response.status() == StatusCode::SERVICE_UNAVAILABLE {
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -421,6 +421,8 @@
         staging_mb: 256,
         max_running: 16,
         max_queued: 256,
+        max_keys: 32_768,
+        answers_mb: 8,
     };
     let (rpc, admin) = (settings.node.rpc, settings.node.admin);
     let agent = Agent::new(settings, log::discard());
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -31,6 +31,12 @@
 /// Most requests that run or wait at one upstream.
 const MAX_REQUESTS: u64 = 1_000_000;
 
+/// Most keys of calls that may not be repeated; about 200 bytes each.
+const MAX_KEYS: u64 = 1 << 20;
+
+/// Most memory for recorded answers, in MiB.
+const MAX_ANSWERS_MB: u64 = 1 << 10;
+
 /// Fields of `node`.
 pub const NODE: &[Field] = &[
     required("name", Kind::Text(NAME)),
@@ -60,6 +66,8 @@
     optional("staging_mb", Kind::Whole(1, MAX_STAGING_MB)),
     optional("max_running", Kind::Whole(1, MAX_REQUESTS)),
     optional("max_queued", Kind::Whole(0, MAX_REQUESTS)),
+    optional("max_keys", Kind::Whole(1, MAX_KEYS)),
+    optional("answers_mb", Kind::Whole(1, MAX_ANSWERS_MB)),
 ]);
 
 const fn settings(fields: &'static [Field]) -> Schema {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -75,6 +75,12 @@
     /// Requests waiting for it.
     #[serde(default = "default_queued")]
     pub max_queued: usize,
+    /// Keys of calls that may not be repeated, each held for 30.5 minutes.
+    #[serde(default = "default_keys")]
+    pub max_keys: usize,
+    /// Memory for the recorded answers of such calls, in MiB.
+    #[serde(default = "default_answers")]
+    pub answers_mb: usize,
 }
 }
 
@@ -98,6 +104,14 @@
     256
 }
 
+fn default_keys() -> usize {
+    32_768
+}
+
+fn default_answers() -> usize {
+    8
+}
+
 /// Reads and checks the settings of a daemon.
 ///
 /// The error names the first fault; `chervilquay check` lists all of them.
--- a/src/gate/admit.rs
+++ b/src/gate/admit.rs
@@ -62,6 +62,11 @@
     pub fn deadline(&self) -> Millis {
         self.deadline
     }
+
+    /// True when the request goes to a plain service, whose answers name no weights.
+    pub fn is_service(&self) -> bool {
+        self.service
+    }
 }
 
 common! { value
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -103,12 +103,24 @@
     fn call(&mut self, request: Request<Body>) -> Self::Future {
         let channel = self.clone();
         Box::pin(async move {
-            let mut sender = channel.ready().await?;
+            let mut sender = channel.ready().await.map_err(|e| unsent(&e))?;
             Ok(sender.send_request(absolute(request, channel.addr)).await?)
         })
     }
 }
 
+/// Metadata of a status that was made here because nothing could be sent.
+const UNSENT: &str = "unsent";
+
+/// The status of a call for which there was no connection.
+fn unsent(error: &Error) -> tonic::Status {
+    let mut status = to_status(error);
+    status
+        .metadata_mut()
+        .insert(UNSENT, tonic::metadata::MetadataValue::from_static("1"));
+    status
+}
+
 /// HTTP/2 requests need a scheme and an authority, which generated clients leave out.
 fn absolute(request: Request<Body>, addr: SocketAddr) -> Request<Body> {
     let (mut parts, body) = request.into_parts();
@@ -166,16 +178,19 @@
 
 /// The library's error for a failed call.
 ///
-/// A status without a result code comes from the transport, so whether the
-/// call ran is not known.
+/// Whether the call ran is not known, unless there was no connection to send it on.
 pub fn from_status(status: &tonic::Status) -> Error {
     let number = status
         .metadata()
         .get("code")
         .and_then(|v| v.to_str().ok())
         .and_then(|v| v.parse().ok());
+    let run = match status.metadata().contains_key(UNSENT) {
+        true => Run::NotRun,
+        false => Run::Unknown,
+    };
     match number.and_then(Code::from_number) {
-        Some(code) => Error::new(code, status.message()).with_run(Run::Unknown),
+        Some(code) => Error::new(code, status.message()).with_run(run),
         None => Error::new(Code::RpcFailed, status.to_string()).with_run(Run::Unknown),
     }
 }
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -328,6 +328,35 @@
     assert!(system.agents[index].process.wait(), "exit status");
 }
 
+// Guards against a stop that waits longer than the pool's drain time, and
+// against a clean end of an answer that it cuts.
+#[test]
+fn agent_stop_is_bounded() {
+    let mut system = start("agent-bounded");
+    system.set_drain(0);
+    let entry = system.entries[0].http;
+    let running = stream(entry, "cut");
+    let busy = |vm: &support::system::AgentVm| dump(vm.admin)["guard"]["dispatched"] == 1;
+    let index = system.agents.iter().position(busy).unwrap();
+    system.agents[index].process.signal("TERM");
+    let body = finish(running);
+    assert!(!ended_cleanly(&body), "{body}");
+    assert!(system.agents[index].process.wait(), "exit status");
+}
+
+// Guards against a call without a key that is lost, or sent to two upstreams,
+// because one of its upstreams cannot be reached.
+#[test]
+fn keyless_call_goes_elsewhere() {
+    let mut system = start("keyless-elsewhere");
+    let entry = system.entries[0].http;
+    let index = owner(&system, &ticket(entry));
+    system.agents[index].process.kill();
+    let answer = http(entry, "POST", "/book", &[], "{}").unwrap();
+    assert_eq!(answer.0, 200, "{answer:?}");
+    assert_eq!(runs(&system, ""), 1);
+}
+
 // Guards against a stop of an entry that interrupts a running stream, or takes
 // new connections.
 #[test]
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -364,6 +364,21 @@
         .collect()
     }
 
+    /// Publishes the tables again with a drain time for the pool `assistant`.
+    pub fn set_drain(&mut self, seconds: u64) {
+        let old = format!("revision: {}\n", self.revision);
+        self.revision += 1;
+        let new = format!("revision: {}\n", self.revision);
+        for key in ["routes", "pools"] {
+            let path = format!("/v1/kv/{key}?raw");
+            let (_, _, text) = http(self.platform_addr, "GET", &path, &[], "").unwrap();
+            let pool = format!("  assistant:\n    drain_s: {seconds}\n");
+            let text = text.replace(&old, &new).replace("  assistant:\n", &pool);
+            self.put(key, &text);
+        }
+        self.until_serving();
+    }
+
     /// Publishes one value.
     pub fn put(&self, key: &str, text: &str) {
         let path = format!("/v1/kv/{key}");
