--- a/src/agent/booking.rs
+++ b/src/agent/booking.rs
@@ -206,7 +206,7 @@
         agent.guard.aborted().await;
         Err(serve::lost("agent stopped"))
     };
-    let ended = call(agent, request, turn.priority)
+    let ended = call(agent, request, permit.is_service(), turn.priority)
         .or(late)
         .or(stopped)
         .await;
@@ -238,16 +238,24 @@
 /// Sends the call once and reads its answer whole.
 ///
 /// An error with [`Run::NotRun`] means that nothing was written to the upstream.
-async fn call(agent: &Agent, request: proto::ServeRequest, priority: i32) -> Result<Answer> {
+async fn call(
+    agent: &Agent,
+    request: proto::ServeRequest,
+    is_service: bool,
+    priority: i32,
+) -> Result<Answer> {
     let digest = request.digest.clone();
-    let kind = agent.duty().map_or(Kind::Engine, |d| d.kind);
+    let kind = match is_service {
+        true => Kind::Service,
+        false => Kind::Engine,
+    };
     let message = serve::engine_request(agent, request, kind, priority)?;
     let answer = agent.engine.forward(message).await.map_err(serve::broken)?;
     let (response, kept) = Client::split(answer);
     let (parts, incoming) = response.into_parts();
     let body = read(incoming).await?;
     agent.engine.give_back(kept);
-    if kind == Kind::Engine && parts.status.is_success() {
+    if !is_service && parts.status.is_success() {
         serve::check_whole(agent, &body, &digest)?;
     }
     let headers = parts
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -175,7 +175,10 @@
     let mut turn = enter(agent, &request).await?;
     // The state may have changed while the request waited.
     let _active = guard::dispatch(agent, &permit, frames.print())?;
-    let kind = agent.duty().map_or(Kind::Engine, |d| d.kind);
+    let kind = match permit.is_service() {
+        true => Kind::Service,
+        false => Kind::Engine,
+    };
     let expected = request.digest.clone();
     let message = engine_request(agent, request, kind, turn.priority)?;
     let answer = agent.engine.forward(message).await.map_err(broken);
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -439,6 +439,8 @@
         staging_mb: 256,
         max_running: plan.max_running,
         max_queued: plan.max_queued,
+        max_keys: 32_768,
+        answers_mb: 8,
     };
     let (rpc, admin) = (settings.node.rpc, settings.node.admin);
     let mut agent = Agent::new(settings, log::discard());
