entry: Keep the timer of a request between frames

Each step of a request made a new timer, which wakes the reactor. The timer is now kept until its time changes, frames that have arrived are taken without waiting, and a part of the body goes straight to a caller with room.

--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -64,6 +64,9 @@
     /// which cancels the work at the agent.
     tasks: IndexMap<u32, Task<()>>,
     caller: Option<BodySender>,
+    /// Kept between steps: a new timer for each frame costs a wake-up of the
+    /// reactor.
+    timer: Option<(Millis, smol::Timer)>,
 }
 
 impl Request {
@@ -84,6 +87,7 @@
             sender,
             tasks: IndexMap::new(),
             caller: None,
+            timer: None,
         };
         run.drive(|flight, now, pool, out| flight.start(now, &mut pool.router, out));
         Ok(run)
@@ -100,10 +104,14 @@
             if let Some(step) = self.steps.pop_front() {
                 return step;
             }
-            let wake = self.flight.wake().since(self.entry.node.clock.now());
+            if let Ok(event) = self.events.try_recv() {
+                self.on_event(event);
+                continue;
+            }
+            let mut timer = self.take_timer();
             let event = async { self.events.recv().await.ok().map(Wake::Event) };
-            let timer = async {
-                smol::Timer::after(wake.duration()).await;
+            let late = async {
+                (&mut timer.1).await;
                 Some(Wake::Timer)
             };
             let caller = self.caller.clone();
@@ -114,8 +122,11 @@
                 }
                 Some(Wake::Gone)
             };
-            match event.or(timer).or(gone).await {
-                Some(Wake::Event(event)) => self.on_event(event),
+            match event.or(late).or(gone).await {
+                Some(Wake::Event(event)) => {
+                    self.timer = Some(timer);
+                    self.on_event(event);
+                }
                 Some(Wake::Timer) | None => {
                     self.drive(|flight, now, pool, out| flight.tick(now, &mut pool.router, out));
                 }
@@ -126,8 +137,24 @@
         }
     }
 
+    /// The timer for the next wake-up, the one held if its time is still right.
+    fn take_timer(&mut self) -> (Millis, smol::Timer) {
+        let at = self.flight.wake();
+        match self.timer.take() {
+            Some(held) if held.0 == at => held,
+            _ => {
+                let wait = at.since(self.entry.node.clock.now());
+                (at, smol::Timer::after(wait.duration()))
+            }
+        }
+    }
+
     /// Gives a part to the caller, at most until the deadline; true when it has gone.
     pub async fn give(&mut self, sender: &BodySender, item: Result<Option<Bytes>>) -> bool {
+        let item = match sender.try_send(item) {
+            Ok(()) => return false,
+            Err(full) => full.into_inner(),
+        };
         let wait = self.job.deadline.since(self.entry.node.clock.now());
         let given = async { sender.send(item).await.is_err() };
         let late = async {
