--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -13,6 +13,7 @@
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::rt;
+use crate::once::Print;
 use crate::prelude::*;
 use crate::proto;
 use crate::route::Ask;
@@ -48,6 +49,8 @@
     pub headers: Vec<proto::Header>,
     /// Body, whole.
     pub body: Bytes,
+    /// Fingerprint for the table of suspects.
+    pub print: Print,
 }
 
 impl Job {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod booking;
 pub mod http;
 pub mod pools;
 pub mod request;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 
 use crate::config::EntrySettings;
+use crate::entry::booking::Owners;
 use crate::entry::pools::Pools;
 use crate::net::rt;
 use crate::net::server;
@@ -22,6 +24,7 @@
 use crate::node::Node;
 use crate::node::admin;
 use crate::node::platform;
+use crate::once::Secret;
 use crate::prelude::*;
 use crate::proto::peer_server::PeerServer;
 use crate::route::choose::Policy;
@@ -33,6 +36,10 @@
     pub node: Node,
     /// Settings.
     pub settings: Arc<EntrySettings>,
+    /// Addresses of agents that tickets name.
+    pub owners: Owners,
+    /// Key with which tickets are signed.
+    pub secret: Secret,
     /// Choice, limits and budgets of each pool.
     pub pools: Pools,
 }
@@ -47,6 +54,8 @@
     pub fn with_policy(settings: EntrySettings, log: slog::Logger, policy: Policy) -> Entry {
         let node = Node::new(settings.node.clone(), log);
         Entry {
+            owners: Owners::default(),
+            secret: Secret::new(&settings.node.secret),
             pools: Pools::new(node.clone(), policy),
             node,
             settings: Arc::new(settings),
@@ -115,6 +124,7 @@
             "name": settings.name,
             "zone": settings.zone,
             "tables": { "revision": stamp.revision, "digest": stamp.digest, "refused": refused },
+            "suspects": self.node.suspects.len(),
             "pools": self.pools.dump(),
         })
     }
--- a/src/entry/pools.rs
+++ b/src/entry/pools.rs
@@ -12,14 +12,17 @@
 use crate::limit::Limiter;
 use crate::node::Node;
 use crate::prelude::*;
+use crate::route::Ask;
 use crate::route::Member;
 use crate::route::Router;
 use crate::route::Upstream;
 use crate::route::choose::Policy;
 use crate::route::cost::Estimator;
+use crate::route::cost::Kind;
 use crate::route::subset;
 use crate::table::Set;
 use crate::table::Stamp;
+use crate::table::doc::Class;
 use crate::table::doc::Pool;
 
 /// Interval of the systems that eject, learn and limit.
@@ -37,6 +40,17 @@
     addrs: IndexMap<String, SocketAddr>,
 }
 
+/// An upstream for a call that is bound to one.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Key at the chooser.
+    pub key: Key<Upstream>,
+    /// Name in the pools table.
+    pub name: String,
+    /// RPC address of its agent.
+    pub rpc: SocketAddr,
+}
+
 #[derive(Debug)]
 struct State {
     stamp: Stamp,
@@ -172,6 +186,24 @@
         self.addrs.get(&upstream.name).copied()
     }
 
+    /// The upstream that a short request would go to now, none of `tried`.
+    pub fn target(&mut self, now: Millis, tried: &[Key<Upstream>]) -> Option<Target> {
+        let ask = Ask {
+            cost: self.costs.expect(Kind::new(Class::Short, 0, 0)),
+            short: true,
+            repeatable: false,
+            prefix: None,
+        };
+        let key = self.router.chooser.pick(now, &ask, tried)?;
+        let upstream = self.router.chooser.get(key)?;
+        let rpc = *self.addrs.get(&upstream.name)?;
+        Some(Target {
+            key,
+            name: upstream.name.clone(),
+            rpc,
+        })
+    }
+
     fn dump(&self) -> Value {
         let mut upstreams = serde_json::Map::new();
         for (_, upstream) in self.router.chooser.iter() {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -186,11 +186,15 @@
                 ran = Some(done.run_ms);
                 Piece::Done(done.length)
             }
-            Some(FrameKind::Fail(fail)) => return self.fail(attempt, failure(&fail)),
+            Some(FrameKind::Fail(fail)) => {
+                let error = failed(&self.entry, &self.job, attempt, &fail);
+                return self.fail(attempt, error);
+            }
             None => return self.fail(attempt, invalid("frame without content")),
         };
         let kind = self.job.kind();
         let cost = self.ask.cost;
+        let is_done = ran.is_some();
         self.drive(|flight, now, pool, out| {
             let was_finished = flight.is_finished();
             flight.on_frame(now, (attempt, frame.seq), piece, &mut pool.router, out);
@@ -202,6 +206,10 @@
                 pool.gate.on_done(cost);
             }
         });
+        if is_done && self.flight.is_finished() {
+            let node = &self.entry.node;
+            node.suspects.success(node.clock.now(), &self.job.print);
+        }
     }
 
     fn fail(&mut self, attempt: u32, error: Error) {
@@ -350,7 +358,8 @@
     }
 }
 
-fn message(
+/// The message of one attempt, from the tables in force.
+pub fn message(
     entry: &Entry,
     job: &Job,
     attempt: u32,
@@ -385,6 +394,15 @@
     Error::new(Code::ProtocolInvalid, detail).with_run(Run::Unknown)
 }
 
+/// The error that an agent reports; counts a crash of its engine.
+pub fn failed(entry: &Entry, job: &Job, attempt: u32, fail: &proto::Fail) -> Error {
+    if fail.crashed {
+        let now = entry.node.clock.now();
+        entry.node.suspects.crash(now, job.print, &job.id, attempt);
+    }
+    failure(fail)
+}
+
 fn failure(fail: &proto::Fail) -> Error {
     let code = Code::from_number(fail.code).unwrap_or(Code::ProtocolInvalid);
     let run = match fail.run() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,9 +25,11 @@
     reason = "generated code"
 )]
 pub mod proto;
+pub mod report;
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod scenario;
 pub mod sched;
 pub mod standin;
 pub mod table;
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,8 @@
     Demo(cmd::demo::Args),
     Dump(cmd::dump::Args),
     Explain(cmd::explain::Args),
+    Report(cmd::report::Args),
+    Scenario(cmd::scenario::Args),
     Standin(cmd::standin::Args),
     Status(cmd::status::Args),
 }
@@ -46,6 +48,8 @@
         Command::Demo(args) => cmd::demo::run(args),
         Command::Dump(args) => cmd::dump::run(args),
         Command::Explain(args) => cmd::explain::run(args),
+        Command::Report(args) => cmd::report::run(args),
+        Command::Scenario(args) => cmd::scenario::run(args),
         Command::Standin(args) => cmd::standin::run(args),
         Command::Status(args) => cmd::status::run(args),
     };
