bench: Measure capacity slopes and sum them up per role

`bench capacity` measures 22 costs of real code over four or five sizes each (tables, live list, spread, choice, queue, limits, ledger, digests, messages, metrics), fits a line by least squares and shows residuals. Sums per role are derived from the lines.

Memory is read from the growth of the process, so those slopes come first and keep what they measure; with copies freed between points the growth read 0.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,4 +1,5 @@
 //! Experiments on the real code over loopback, and long randomised runs.
 
+pub mod capacity;
 pub mod fleet;
 pub mod tables;
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Load and experiment tool: one subcommand an experiment.
 
+pub mod capacity;
 pub mod path;
 
 use std::process::ExitCode;
@@ -17,12 +18,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
+    Capacity(capacity::Args),
     Path(path::Args),
 }
 
 /// Runs the experiment that the command line names.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     match &args.experiment {
+        Experiment::Capacity(args) => capacity::run(args),
         Experiment::Path(args) => path::run(args),
     }
 }
