--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 pub mod frames;
 pub mod guard;
 pub mod load;
+pub mod queue;
 pub mod rpc;
 pub mod serve;
 pub mod weights;
@@ -17,14 +18,17 @@
 use smol::channel;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use smol::future::FutureExt;
 
 use crate::agent::booking::Runs;
 use crate::agent::engine::Engine;
 use crate::agent::guard::Guard;
 use crate::agent::load::Loaded;
+use crate::agent::queue::Queue;
 use crate::agent::serve::Gate;
 use crate::agent::weights::Weights;
 use crate::config::AgentSettings;
+use crate::gate::drain::HANDOVER;
 use crate::net::body::BoxBody;
 use crate::net::rt;
 use crate::net::server;
@@ -61,6 +65,8 @@
     pub runs: Runs,
     /// Key with which tickets are signed.
     pub secret: Secret,
+    /// Requests waiting for the upstream.
+    pub queue: Queue,
 }
 
 /// Random low bits of an incarnation, so that two starts in one millisecond differ.
@@ -94,13 +100,14 @@
         let incarnation = (start << INCARNATION_BITS) | random;
         Agent {
             incarnation,
-            guard: Guard::new(&node.settings.name, incarnation, node.clock.now()),
+            guard: Guard::new(&settings, incarnation, node.clock.now()),
             runs: Runs::default(),
             secret: Secret::new(&node.settings.secret),
             engine: Arc::new(Engine::new(settings.upstream)),
             weights: Weights::new(settings.staging_mb << 20),
             loaded: Loaded::default(),
             gate: Gate::new(settings.max_running + settings.max_queued),
+            queue: Queue::new(&settings),
             settings: Arc::new(settings),
             node,
         }
@@ -129,13 +136,18 @@
         let watch = rt::spawn(platform::watch(self.node.clone()));
         let keep = rt::spawn(load::keep(self.clone()));
         let tick = rt::spawn(guard::keep(self.clone()));
+        let queue = rt::spawn(self.queue.clone().run());
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed.clone()));
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed));
         slog::info!(self.node.log, "agent: started"; "rpc" => %self.node.settings.rpc);
         let _ = stop.recv().await;
         self.finish(closer).await;
-        rpc_task.await;
-        drop((admin_task, keep, watch, tick));
+        let late = async {
+            smol::Timer::after(HANDOVER.duration()).await;
+        };
+        // A peer that has stopped reading must not hold up the exit.
+        rpc_task.or(late).await;
+        drop((admin_task, keep, queue, watch, tick));
         Ok(())
     }
 
@@ -199,6 +211,7 @@
             "gate": self.gate.dump(),
             "guard": self.guard.dump(),
             "suspects": self.node.suspects.len(),
+            "queue": self.queue.dump(),
         })
     }
 }
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -17,6 +17,8 @@
 use crate::agent::frames::FrameSender;
 use crate::agent::frames::Frames;
 use crate::agent::guard;
+use crate::agent::queue::Entrant;
+use crate::agent::queue::Turn;
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
@@ -82,14 +84,6 @@
         wait.or(late).await;
     }
 
-    /// Load for reports to entries.
-    pub fn load(&self) -> proto::Load {
-        proto::Load {
-            running: self.lock().running as u32,
-            ..proto::Load::default()
-        }
-    }
-
     /// Counts, for operators.
     pub fn dump(&self) -> Value {
         let state = self.lock();
@@ -135,7 +129,12 @@
 }
 
 /// Admits, runs and answers one attempt; dropping the reader cancels it.
-pub async fn run(agent: Agent, request: proto::ServeRequest, sender: FrameSender) {
+pub async fn run(agent: Agent, mut request: proto::ServeRequest, sender: FrameSender) {
+    // While a pool reloads in turns, an agent answers from the version that it
+    // holds; refusing would leave the pool without capacity.
+    if let Some(held) = agent.loaded.digest() {
+        request.digest = held;
+    }
     let mut frames = Frames::new(&request, sender.clone());
     let limit = Duration::from_millis(request.remaining_ms);
     let gone = frames_closed(sender);
@@ -169,11 +168,19 @@
     }
     let permit = guard::admit(agent, &request).await?;
     let _pass = agent.gate.enter()?;
-    let expected = request.digest.clone();
-    let message = engine_request(agent, request)?;
-    // The state may have changed since the request was admitted.
+    if !agent.queue.note(&request.request, request.attempt) {
+        let detail = format!("attempt {} was seen before", request.attempt);
+        return Err(Error::new(Code::ProtocolInvalid, detail).with_run(Run::Unknown));
+    }
+    let mut turn = enter(agent, &request).await?;
+    // The state may have changed while the request waited.
     let _active = guard::dispatch(agent, &permit, frames.print())?;
-    let kind = agent.duty().map_or(Kind::Engine, |d| d.kind);
+    let kind = match permit.is_service() {
+        true => Kind::Service,
+        false => Kind::Engine,
+    };
+    let expected = request.digest.clone();
+    let message = engine_request(agent, request, kind, turn.priority)?;
     let answer = agent.engine.forward(message).await.map_err(broken);
     let (response, kept) = Client::split(answer?);
     if kind == Kind::Engine && response.status() == StatusCode::SERVICE_UNAVAILABLE {
@@ -194,11 +201,34 @@
     }
     agent.engine.give_back(kept);
     guard::succeeded(agent, &frames.print());
-    frames.done().await
+    let took = turn.done();
+    frames.done(took).await
+}
+
+/// Waits for room at the upstream; an error means that the request was not run.
+pub async fn enter(agent: &Agent, request: &proto::ServeRequest) -> Result<Turn> {
+    let weight = weight(agent, &request.organisation);
+    agent.queue.enter(Entrant::new(request, weight)).await
+}
+
+/// Weight of the organisation's share, by the tables in force.
+fn weight(agent: &Agent, org: &str) -> u32 {
+    let set = agent.node.view.get();
+    let share = set.and_then(|set| Some(set.routes.organisations.get(org)?.share));
+    share.unwrap_or(1)
 }
 
 /// The request as the upstream gets it.
-pub fn engine_request(agent: &Agent, request: proto::ServeRequest) -> Result<Request<BoxBody>> {
+pub fn engine_request(
+    agent: &Agent,
+    request: proto::ServeRequest,
+    kind: Kind,
+    priority: i32,
+) -> Result<Request<BoxBody>> {
+    let body = match kind {
+        Kind::Engine => with_priority(request.body, priority),
+        Kind::Service => request.body,
+    };
     let mut builder = Request::builder()
         .method(request.method.as_str())
         .uri(request.path.as_str())
@@ -207,10 +237,22 @@
         builder = builder.header(header.name.as_str(), header.value.as_slice());
     }
     builder
-        .body(body::full(request.body))
+        .body(body::full(body))
         .map_err(|e| Error::new(Code::RequestMalformed, e.to_string()))
 }
 
+/// The body with the agent's priority in place of the caller's.
+///
+/// A body that is no JSON object is left to the engine to refuse.
+fn with_priority(body: Vec<u8>, priority: i32) -> Vec<u8> {
+    let parsed = serde_json::from_slice::<serde_json::Map<String, Value>>(&body);
+    let Ok(mut object) = parsed else {
+        return body;
+    };
+    object.insert("priority".to_string(), json!(priority));
+    serde_json::to_vec(&object).unwrap_or(body)
+}
+
 fn content_type(response: &http::Response<Incoming>) -> &str {
     response
         .headers()
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod capacity;
 pub mod fleet;
+pub mod requests;
 pub mod tables;
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,7 +1,9 @@
 //! Load and experiment tool: one subcommand an experiment.
 
 pub mod capacity;
+pub mod overhead;
 pub mod path;
+pub mod requests;
 
 use std::process::ExitCode;
 
@@ -19,13 +21,17 @@
 #[argh(subcommand)]
 enum Experiment {
     Capacity(capacity::Args),
+    Overhead(overhead::Args),
     Path(path::Args),
+    Requests(requests::Args),
 }
 
 /// Runs the experiment that the command line names.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     match &args.experiment {
         Experiment::Capacity(args) => capacity::run(args),
+        Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
+        Experiment::Requests(args) => requests::run(args),
     }
 }
--- a/src/entry/booking.rs
+++ b/src/entry/booking.rs
@@ -14,8 +14,8 @@
 use smol::future::FutureExt;
 
 use crate::entry::Entry;
-use crate::entry::attempt;
 use crate::entry::attempt::Job;
+use crate::entry::request;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client;
@@ -108,7 +108,12 @@
     };
     for number in 1..=MAX_SENDS {
         // Only the owner can say that a key was not run: an earlier send may have.
-        let message = attempt::message(entry, job, number);
+        let remaining = job.deadline.since(entry.node.clock.now());
+        if remaining.0 == 0 {
+            let error = Error::new(Code::DeadlineExceeded, "at the entry");
+            return Err(error.with_run(Run::Unknown).into());
+        }
+        let message = request::message(entry, job, number, remaining);
         let mut message = message.map_err(|e| e.with_run(Run::Unknown))?;
         message.ticket = key.to_string();
         match send(entry, job, addr, message).await {
@@ -186,9 +191,9 @@
             let Some(frame) = frame else {
                 return Err(Lost::Link(invalid("answer ended early")));
             };
-            attempt::check(job, attempt, held.len() as u64, &frame).map_err(Lost::Link)?;
+            check(job, attempt, held.len() as u64, &frame).map_err(Lost::Link)?;
             if let Some(FrameKind::Fail(fail)) = &frame.kind {
-                return Err(Lost::Told(attempt::failed(entry, job, attempt, fail)));
+                return Err(Lost::Told(request::failed(entry, job, attempt, fail)));
             }
             let is_done = matches!(frame.kind, Some(FrameKind::Done(_)));
             held.push(frame);
@@ -205,6 +210,14 @@
     exchange.or(late).await
 }
 
+/// Refuses a frame that belongs to another request or is out of sequence.
+fn check(job: &Job, attempt: u32, seq: u64, frame: &proto::Frame) -> Result<()> {
+    if frame.request != job.id || frame.attempt != attempt || frame.seq != seq {
+        return Err(invalid("frame of another answer"));
+    }
+    Ok(())
+}
+
 fn invalid(detail: &str) -> Error {
     Error::new(Code::ProtocolInvalid, detail).with_run(Run::Unknown)
 }
@@ -280,13 +293,13 @@
     let none = || Error::new(Code::NoUpstream, pool_name);
     let mut tried = Vec::new();
     for _ in 0..MAX_ASKED {
-        let set = entry.node.view.get().ok_or_else(none)?;
-        let pool = set.pools.pools.get(pool_name).ok_or_else(none)?;
-        let zone = &entry.node.settings.zone;
-        let Some(target) = entry.flights.pick(pool, zone, &tried) else {
+        let target = entry.pools.with(pool_name, |pool| {
+            pool.target(entry.node.clock.now(), &tried)
+        });
+        let Some(target) = target.flatten() else {
             break;
         };
-        tried.push(target.name.clone());
+        tried.push(target.key);
         let mut client = entry.node.channels.agent(target.rpc);
         let Ok(state) = ask(client.state(proto::StateRequest {})).await else {
             continue;
--- a/src/scenario/agent.rs
+++ b/src/scenario/agent.rs
@@ -16,7 +16,7 @@
 use crate::once::State;
 use crate::once::Ticket;
 use crate::prelude::*;
-use crate::route::flight::Piece;
+use crate::route::action::Piece;
 use crate::scenario::message::Message;
 use crate::scenario::message::Out;
 use crate::scenario::message::Serve;
--- a/src/scenario/entry.rs
+++ b/src/scenario/entry.rs
@@ -4,14 +4,14 @@
 
 use crate::once::Ticket;
 use crate::prelude::*;
-use crate::route::choose::Ask;
-use crate::route::flight::Action;
+use crate::route::action::Action;
+use crate::route::action::Piece;
+use crate::route::action::Plan;
 use crate::route::flight::Flight;
-use crate::route::flight::Piece;
-use crate::route::flight::Plan;
 use crate::route::router::Router;
 use crate::route::subset;
 use crate::route::subset::Member;
+use crate::route::upstream::Ask;
 use crate::scenario::doc::RequestSpec;
 use crate::scenario::message::Ending;
 use crate::scenario::message::Message;
@@ -290,7 +290,7 @@
     }
 }
 
-fn upstream_name(router: &Router, key: Key<crate::route::choose::Upstream>) -> String {
+fn upstream_name(router: &Router, key: Key<crate::route::Upstream>) -> String {
     let held = router.chooser.get(key);
     held.map(|upstream| upstream.name.clone())
         .unwrap_or_default()
--- a/src/scenario/message.rs
+++ b/src/scenario/message.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 use crate::proto::FetchReply;
 use crate::proto::Notice;
-use crate::route::flight::Piece;
+use crate::route::action::Piece;
 use crate::table::Stamp;
 use crate::table::sync;
 
