--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Load and experiment tool: one subcommand an experiment.
 
+pub mod capacity;
 pub mod overhead;
 pub mod path;
 pub mod requests;
@@ -19,6 +20,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
+    Capacity(capacity::Args),
     Overhead(overhead::Args),
     Path(path::Args),
     Requests(requests::Args),
@@ -27,6 +29,7 @@
 /// Runs the experiment that the command line names.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     match &args.experiment {
+        Experiment::Capacity(args) => capacity::run(args),
         Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
         Experiment::Requests(args) => requests::run(args),
