demo: Say why a stream was not answered whole

Cause: a broken P6 did not tell a refusal from an answer that broke off. Change: the caller's error is shown.

--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -74,12 +74,12 @@
         };
         let prompt = format!("caller {caller} request {count}");
         let addr = fleet.open_entry(caller + count);
-        complete(&fleet, &checks, &outcome, addr, &prompt, tokens).await;
+        let _ = complete(&fleet, &checks, &outcome, addr, &prompt, tokens).await;
         smol::Timer::after(PAUSE.duration()).await;
     }
 }
 
-/// Sends one completion and checks the answer; true when it was whole.
+/// Sends one completion and checks the answer; an error says why it was not whole.
 pub async fn complete(
     fleet: &Fleet,
     checks: &Checks,
@@ -87,7 +87,7 @@
     addr: std::net::SocketAddr,
     prompt: &str,
     tokens: u64,
-) -> bool {
+) -> std::result::Result<(), String> {
     let body = json!({ "prompt": prompt, "max_tokens": tokens, "stream": true });
     let sent = fleet
         .send(addr, "/v1/completions", None, body.to_string())
@@ -96,12 +96,19 @@
         Ok((200, bytes)) => {
             check_stream(checks, &bytes, prompt, tokens);
             outcome.answered.fetch_add(1, Ordering::Relaxed);
-            true
+            Ok(())
+        }
+        Ok((status, bytes)) => {
+            outcome.refused.fetch_add(1, Ordering::Relaxed);
+            Err(format!(
+                "status {status}: {}",
+                String::from_utf8_lossy(&bytes)
+            ))
         }
         // An answer that breaks off is seen as an error, never as a whole one.
-        _ => {
+        Err(error) => {
             outcome.refused.fetch_add(1, Ordering::Relaxed);
-            false
+            Err(error.to_string())
         }
     }
 }
--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -40,6 +40,9 @@
 /// Shows the progress of the steps.
 pub type Show<'a> = &'a dyn Fn(&str);
 
+/// A long completion in progress.
+type Stream = smol::Task<std::result::Result<(), String>>;
+
 /// Runs all steps and returns the checks made on the way.
 pub async fn run(seed: u64, show: Show<'_>) -> Result<Checks> {
     let checks = Checks::default();
@@ -179,11 +182,7 @@
     Ok(())
 }
 
-fn start_streams(
-    fleet: &Arc<Fleet>,
-    checks: &Checks,
-    outcome: &Arc<Outcome>,
-) -> Vec<smol::Task<bool>> {
+fn start_streams(fleet: &Arc<Fleet>, checks: &Checks, outcome: &Arc<Outcome>) -> Vec<Stream> {
     let start = |index: usize| {
         let fleet = fleet.clone();
         let checks = checks.clone();
@@ -197,12 +196,11 @@
     (0..12).map(start).collect()
 }
 
-async fn finish_streams(streams: Vec<smol::Task<bool>>, checks: &Checks, step: &str) {
+async fn finish_streams(streams: Vec<Stream>, checks: &Checks, step: &str) {
     for stream in streams {
-        let is_whole = stream.await;
-        checks.check(Promise::P6, is_whole, || {
-            format!("{step}: a stream broke off")
-        });
+        let ended = stream.await;
+        let is_whole = ended.is_ok();
+        checks.check(Promise::P6, is_whole, || format!("{step}: {ended:?}"));
     }
 }
 
