retry: Test retries and hedges of one request

The tests guard against a second run of a call that may not be repeated, against answers held back after the last attempt, against retries beyond the budget and against two answers from a hedge.

--- /dev/null
+++ b/tests/retry_flight.rs
@@ -0,0 +1,126 @@
+//! Retries and hedges of one request.
+
+use chervilquay::prelude::*;
+use chervilquay::route::Ask;
+use chervilquay::route::Flight;
+use chervilquay::route::Member;
+use chervilquay::route::Router;
+use chervilquay::route::action::Action;
+use chervilquay::route::action::Piece;
+use chervilquay::route::action::Plan;
+
+const DEADLINE: Millis = Millis(10_000);
+
+fn router(upstreams: usize) -> Router {
+    let member = |i| Member {
+        name: format!("u{i}"),
+        zone: "a".to_string(),
+        ready: true,
+    };
+    let members: Vec<_> = (0..upstreams).map(member).collect();
+    let mut router = Router::new(1);
+    router.chooser.set_members("a", &members);
+    router
+}
+
+fn flight(repeatable: bool) -> Flight<u32> {
+    Flight::new(Plan {
+        ask: Ask {
+            cost: 20.0,
+            short: true,
+            repeatable,
+            prefix: None,
+        },
+        deadline: DEADLINE,
+    })
+}
+
+fn error(run: Run) -> Error {
+    Error::new(Code::RpcFailed, "test").with_run(run)
+}
+
+fn sends(out: &[Action<u32>]) -> usize {
+    let sent = out.iter().filter(|a| matches!(a, Action::Send { .. }));
+    sent.count()
+}
+
+/// Fails each attempt at once; returns the attempts made and the last action.
+fn fail_all(router: &mut Router, repeatable: bool, run: Run) -> (usize, Action<u32>, Millis) {
+    let mut flight = flight(repeatable);
+    let mut out = Vec::new();
+    let mut now = Millis(1);
+    flight.start(now, router, &mut out);
+    while !flight.is_finished() {
+        let attempt = flight.attempts() as u32;
+        flight.on_fail(now, attempt, error(run), router, &mut out);
+        if !flight.is_finished() {
+            now = now.max(flight.wake());
+            flight.tick(now, router, &mut out);
+        }
+    }
+    let last = out.last().expect("an end").clone();
+    (sends(&out), last, now)
+}
+
+// Guards against a second run of a call that may not be repeated.
+#[test]
+fn unknown_booking_not_repeated() {
+    let mut router = router(4);
+    let (attempts, last, _) = fail_all(&mut router, false, Run::Unknown);
+    assert_eq!(attempts, 1);
+    assert!(matches!(last, Action::Fail(e) if e.run == Run::Unknown));
+    let (attempts, last, _) = fail_all(&mut router, false, Run::NotRun);
+    assert_eq!(attempts, 3, "a refusal before the run is tried elsewhere");
+    assert!(matches!(last, Action::Fail(e) if e.run == Run::NotRun));
+}
+
+// Guards against an answer that is held back although nothing more is tried,
+// and against retries beyond the budget.
+#[test]
+fn given_up_at_once() {
+    let mut router = router(4);
+    let mut attempts = 0;
+    for _ in 0..1_000 {
+        let (sent, last, ended) = fail_all(&mut router, true, Run::Unknown);
+        attempts += sent;
+        assert!(matches!(last, Action::Fail(e) if e.retry.is_some()));
+        assert!(ended < Millis(100), "{ended:?}");
+    }
+    assert!(attempts <= 1_105, "{attempts}");
+}
+
+// Guards against hedges of calls that may not be repeated, against two
+// answers, and against a loser that goes on running.
+#[test]
+fn hedge_gives_one_answer() {
+    let mut router = router(4);
+    (0..100).for_each(|_| router.request());
+    for repeatable in [true, false] {
+        let mut flight = flight(repeatable);
+        let mut out = Vec::new();
+        flight.start(Millis(1), &mut router, &mut out);
+        flight.tick(Millis(5_000), &mut router, &mut out);
+        assert_eq!(sends(&out), if repeatable { 2 } else { 1 });
+        let winner = sends(&out) as u32;
+        let mut frame = |attempt, seq, piece| {
+            let id = (attempt, seq);
+            flight.on_frame(Millis(5_001), id, piece, &mut router, &mut out);
+        };
+        frame(1, 0, Piece::Head(1));
+        frame(winner, 1, Piece::Data(Bytes::from_static(b"ab")));
+        frame(winner, 0, Piece::Head(2));
+        frame(1, 1, Piece::Data(Bytes::from_static(b"xy")));
+        frame(winner, 1, Piece::Data(Bytes::from_static(b"ab")));
+        if repeatable {
+            frame(winner, 2, Piece::Done(2));
+            let cancelled = |a: &Action<u32>| matches!(a, Action::Cancel { attempt: 1, .. });
+            assert_eq!(out.iter().filter(|a| cancelled(a)).count(), 1);
+        } else {
+            frame(winner, 2, Piece::Done(2));
+        }
+        let parts = out.iter().filter(|a| matches!(a, Action::Data(_)));
+        assert_eq!(parts.count(), 1);
+        assert_eq!(out.last(), Some(&Action::End));
+        assert_eq!(router.chooser.in_flight(), 0);
+    }
+}
