tests: Start stand-ins on ports of their own choice

Stand-ins now bind port 0 and print their address, and a daemon that ends at its start is started again with other ports.

An agent that cannot connect to its engine closes admission at once.

--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -181,8 +181,13 @@
     };
     let expected = request.digest.clone();
     let message = engine_request(agent, request, kind, turn.priority)?;
-    let answer = agent.engine.forward(message).await.map_err(broken);
-    let (response, kept) = Client::split(answer?);
+    let answer = agent.engine.forward(message).await;
+    let answer = answer.map_err(|error| {
+        // Closes admission until the engine answers again.
+        agent.loaded.doubt();
+        broken(error)
+    })?;
+    let (response, kept) = Client::split(answer);
     if kind == Kind::Engine && response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // The engine has lost its weights since its last report.
         agent.loaded.doubt();
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -352,6 +352,10 @@
     let entry = system.entries[0].http;
     let index = owner(&system, &ticket(entry));
     system.agents[index].process.kill();
+    // On a connection whose loss is not noticed yet, the call is rightly unknown.
+    until("the loss is noticed", || {
+        owner(&system, &ticket(entry)) != index
+    });
     let answer = http(entry, "POST", "/book", &[], "{}").unwrap();
     assert_eq!(answer.0, 200, "{answer:?}");
     assert_eq!(runs(&system, ""), 1);
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -77,10 +77,18 @@
         }
     }
 
-    /// Starts a stand-in and waits until it listens.
-    pub fn standin(args: &[&str]) -> Process {
+    /// Starts a stand-in on a port of its own choice and waits until it listens.
+    pub fn standin(args: &[&str]) -> (Process, SocketAddr) {
+        let process = Process::listening(args);
+        let last = process.lines.last().map(String::as_str).unwrap_or_default();
+        let addr = last.strip_prefix("listening ").unwrap().parse().unwrap();
+        (process, addr)
+    }
+
+    fn listening(args: &[&str]) -> Process {
         let mut all = vec!["standin"];
         all.extend(args);
+        all.extend(["--listen", "127.0.0.1:0"]);
         let mut process = Process::start(env!("CARGO_BIN_EXE_chervilquay"), &all);
         let stdout = process.child.stdout.take().unwrap();
         for line in BufReader::new(stdout).lines() {
@@ -103,6 +111,11 @@
         assert!(status.success());
     }
 
+    /// True when the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -240,12 +253,8 @@
     /// The same with another time for each token, in microseconds.
     pub fn start_with(name: &str, token_us: &str) -> System {
         let dir = WorkDir::new(name);
-        let platform_addr = free_addr();
-        let origin_addr = free_addr();
-        let platform = Process::standin(&["platform", "--listen", &platform_addr.to_string()]);
-        let listen = origin_addr.to_string();
-        let origin =
-            Process::standin(&["origin", "--listen", &listen, "--seed", "1", "--seed", "2"]);
+        let (platform, platform_addr) = Process::standin(&["platform"]);
+        let (origin, origin_addr) = Process::standin(&["origin", "--seed", "1", "--seed", "2"]);
         let versions = origin
             .lines
             .iter()
@@ -290,16 +299,17 @@
     fn agent(&self, index: usize, pool: &str, token_us: &str) -> AgentVm {
         let name = format!("vm-{}", index + 1);
         let zone = format!("z{}", index % 2 + 1);
-        let (rpc, admin, engine_addr) = (free_addr(), free_addr(), free_addr());
-        let listen = engine_addr.to_string();
-        let engine = Process::standin(&["engine", "--listen", &listen, "--token-us", token_us]);
-        let text = format!(
-            "{}upstream: {engine_addr}\norigin: {}\nstaging_mb: 64\n",
-            self.node(&name, &zone, rpc, admin),
-            self.origin_addr
-        );
-        let settings = self.dir.write(&format!("{name}.yaml"), &text);
-        let process = start_agent(&settings);
+        let (engine, engine_addr) = Process::standin(&["engine", "--token-us", token_us]);
+        let (process, settings, rpc, admin) = started(|| {
+            let (rpc, admin) = (free_addr(), free_addr());
+            let text = format!(
+                "{}upstream: {engine_addr}\norigin: {}\nstaging_mb: 64\n",
+                self.node(&name, &zone, rpc, admin),
+                self.origin_addr
+            );
+            let settings = self.dir.write(&format!("{name}.yaml"), &text);
+            (start_agent(&settings), settings, rpc, admin)
+        });
         AgentVm {
             name,
             zone,
@@ -315,15 +325,16 @@
 
     fn entry(&self, index: usize) -> EntryVm {
         let zone = format!("z{}", index + 1);
-        let (http, rpc, admin) = (free_addr(), free_addr(), free_addr());
         let name = format!("entry-{}", index + 1);
-        let text = format!("{}http: {http}\n", self.node(&name, &zone, rpc, admin));
-        let settings = self.dir.write(&format!("{name}.yaml"), &text);
-        let path = settings.to_string_lossy().into_owned();
-        let process = Process::start(
-            env!("CARGO_BIN_EXE_chervilquay-entry"),
-            &["--settings", &path],
-        );
+        let (process, _, http, admin) = started(|| {
+            let (http, rpc, admin) = (free_addr(), free_addr(), free_addr());
+            let text = format!("{}http: {http}\n", self.node(&name, &zone, rpc, admin));
+            let settings = self.dir.write(&format!("{name}.yaml"), &text);
+            let path = settings.to_string_lossy().into_owned();
+            let binary = env!("CARGO_BIN_EXE_chervilquay-entry");
+            let process = Process::start(binary, &["--settings", &path]);
+            (process, settings, http, admin)
+        });
         EntryVm {
             http,
             admin,
@@ -403,6 +414,24 @@
     }
 }
 
+/// Process of a daemon, its settings, one of its addresses and the admin address.
+type Started = (Process, PathBuf, SocketAddr, SocketAddr);
+
+/// Starts a daemon, again with other ports when one of them was taken meanwhile.
+fn started(start: impl Fn() -> Started) -> Started {
+    loop {
+        let mut held = start();
+        until("daemon answers or ends", || {
+            held.0.has_ended() || !dump(held.3).is_null()
+        });
+        // A taken port may belong to a daemon that answers in its place.
+        std::thread::sleep(Duration::from_millis(20));
+        if !held.0.has_ended() {
+            return held;
+        }
+    }
+}
+
 /// Starts the agent daemon on a settings file.
 pub fn start_agent(settings: &Path) -> Process {
     let path = settings.to_string_lossy().into_owned();
