--- a/tests/once_ledger.rs
+++ b/tests/once_ledger.rs
@@ -166,6 +166,19 @@
     assert_eq!((ledger.len(), ledger.bytes()), (0, 0));
 }
 
+// Guards against a ledger that fails, or takes keys again, when two clock
+// readings reach it in the other order.
+#[test]
+fn readings_out_of_order() {
+    let limits = Limits::default();
+    let mut ledger = ledger(limits);
+    let later = START.plus(limits.ttl).plus(Millis(1));
+    ledger.tick(later);
+    ledger.tick(START);
+    let old = Claim::Unknown(Code::TicketExpired);
+    assert_eq!(ledger.claim(START, &ticket(START, 1), PRINT), old);
+}
+
 // Guards against a second dispatch of one key going unnoticed.
 #[test]
 #[should_panic(expected = "key dispatched in state")]
