node: Spread tables between entries and agents

Cause: each daemon watched the platform by itself, and an agent that heard of a higher revision read the platform again, so calls to it grew with the fleet.

Change: both daemons run the core of the tables. Platform reads, exchanges and fetches are its actions; a set comes into force once the process has asked peers and platform. An agent refreshes from peers and reads the platform only without any. Suspects travel in the same notices. Peers take over from seeds once a list is known, so that seeds do not stay everyone's peers. Four far processes are kept whether they answer or not, which find the other side after a long partition. Cutting documents into parts skips deep lines at once.

--- a/src/agent/guard.rs
+++ b/src/agent/guard.rs
@@ -20,9 +20,6 @@
 use crate::gate::drain;
 use crate::gate::drain::Action;
 use crate::gate::drain::Drain;
-use crate::net::client;
-use crate::net::client::Client;
-use crate::node::platform;
 use crate::once::Ledger;
 use crate::once::Limits;
 use crate::once::Print;
@@ -272,18 +269,14 @@
     }
 }
 
-/// Asks the platform for the tables again and notes that the view is fresh.
+/// Asks peers, or the platform without any, for the tables again and notes that the view is fresh.
 ///
 /// When no source answers the last tables stay in force, as for a cut-off zone.
 pub async fn refresh(agent: &Agent) {
     let mut last = agent.guard.refreshed.lock().await;
     let now = agent.node.clock.now();
     if now.since(*last) >= REFRESH_GAP || last.0 == 0 {
-        for addr in &agent.node.settings.platform {
-            if read_tables(agent, &Client::new(*addr)).await.is_ok() {
-                break;
-            }
-        }
+        agent.node.tables.refresh(REFRESH_TIMEOUT).await;
         *last = agent.node.clock.now();
     }
     let mut core = agent.guard.lock();
@@ -291,18 +284,6 @@
     core.gate.refreshed(agent.node.clock.now());
 }
 
-async fn read_tables(agent: &Agent, client: &Client) -> Result<()> {
-    let both = async {
-        let routes = platform::read(client, "routes", None).await?;
-        let pools = platform::read(client, "pools", None).await?;
-        Ok((routes.text, pools.text))
-    };
-    let read = client::timeout(REFRESH_TIMEOUT, Code::PlatformUnavailable, both).await;
-    let (routes, pools) = read?;
-    platform::offer(&agent.node, &routes, &pools);
-    Ok(())
-}
-
 /// Ticks the decision state for as long as the process runs.
 pub async fn keep(agent: Agent) {
     loop {
--- a/src/bench/tables/network.rs
+++ b/src/bench/tables/network.rs
@@ -1,10 +1,5 @@
-//! Faults and costs of the network between processes in memory.
+//! Faults of the network between processes in memory.
 
-use prost::Message as _;
-
-use crate::proto::FetchReply;
-use crate::proto::FetchRequest;
-use crate::proto::Notice;
 use crate::time::Millis;
 
 /// One-way latency within a zone, upper end, in milliseconds.
@@ -13,16 +8,6 @@
 /// One-way latency between zones, in milliseconds.
 const BETWEEN_MS: u64 = 3;
 
-/// Frames of an HTTP/2 call beside its messages: two heads and trailers with
-/// HPACK-indexed fields, frame headers, gRPC prefixes and window updates.
-const CALL_FRAMING: u64 = 130;
-
-/// Payload of one DATA frame.
-const FRAME_PAYLOAD: u64 = 16_384;
-
-/// Header of one frame.
-const FRAME_HEADER: u64 = 9;
-
 /// Faults in effect.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
@@ -72,18 +57,3 @@
         BETWEEN_MS
     }
 }
-
-/// Bytes of an exchange on its connection.
-pub fn exchange_bytes(request: &Notice, reply: &Notice) -> u64 {
-    call_bytes(request.encoded_len() as u64, reply.encoded_len() as u64)
-}
-
-/// Bytes of a fetch on its connection.
-pub fn fetch_bytes(request: &FetchRequest, reply: &FetchReply) -> u64 {
-    call_bytes(request.encoded_len() as u64, reply.encoded_len() as u64)
-}
-
-fn call_bytes(request: u64, reply: u64) -> u64 {
-    let frames = |bytes: u64| bytes.div_ceil(FRAME_PAYLOAD) * FRAME_HEADER;
-    CALL_FRAMING + request + frames(request) + reply + frames(reply)
-}
--- a/src/bench/tables/platform.rs
+++ b/src/bench/tables/platform.rs
@@ -1,6 +1,5 @@
 //! The configuration service in memory: blocking queries, replicas, a call limit.
 
-use crate::prelude::Arc;
 use crate::table::sync::Key;
 use crate::table::sync::Reading;
 use crate::time::Millis;
@@ -165,9 +164,3 @@
         now
     }
 }
-
-/// Bytes of a read: request and answer heads of HTTP/1.1, and the value.
-pub fn read_bytes(text: &Arc<str>) -> u64 {
-    const HEADS: u64 = 250;
-    HEADS + text.len() as u64
-}
--- a/src/bench/tables/sim.rs
+++ b/src/bench/tables/sim.rs
@@ -7,21 +7,19 @@
 use std::sync::Mutex;
 
 use crate::bench::tables::ledger::Ledger;
-use crate::bench::tables::network;
 use crate::bench::tables::network::Faults;
 use crate::bench::tables::platform::Platform;
 use crate::bench::tables::platform::Query;
-use crate::bench::tables::platform::read_bytes;
 use crate::bench::tables::texts;
 use crate::error::Result;
 use crate::member::Live;
+use crate::node::traffic;
 use crate::prelude::Arc;
 use crate::proto::FetchReply;
 use crate::proto::FetchRequest;
 use crate::proto::Notice;
 use crate::table::Set;
 use crate::table::Stamp;
-use crate::table::join::set_digest;
 use crate::table::sync::Action;
 use crate::table::sync::Core;
 use crate::table::sync::Event;
@@ -132,6 +130,8 @@
     pub platform: Platform,
     /// Checks over all processes.
     pub ledger: Ledger,
+    /// Interval of ticks.
+    pub tick: Millis,
     /// Source of all random choices of the run.
     pub rng: fastrand::Rng,
     zones: usize,
@@ -151,6 +151,7 @@
             faults: Faults::default(),
             platform: Platform::default(),
             ledger: Ledger::new(nodes),
+            tick: TICK,
             rng: fastrand::Rng::with_seed(seed),
             zones,
             spread,
@@ -277,7 +278,7 @@
         let mut out = Vec::new();
         self.nodes[node].core.tick(self.now, &mut out);
         self.after(node, out);
-        self.push(self.now.plus(TICK), Item::Tick { node, life });
+        self.push(self.now.plus(self.tick), Item::Tick { node, life });
     }
 
     fn take_event(&mut self, node: usize, life: u64, event: Event) {
@@ -370,7 +371,7 @@
 
     fn take_exchange(&mut self, to: usize, from: Caller, notice: Notice) {
         let reply = self.nodes[to].core.notice();
-        self.charge(from.node, to, network::exchange_bytes(&notice, &reply));
+        self.charge(from.node, to, traffic::exchange_bytes(&notice, &reply));
         let event = Event::Reply {
             call: from.call,
             from: texts::addr(to),
@@ -391,7 +392,7 @@
             base_revision: base.revision,
             base_digest: base.digest.clone(),
         };
-        self.charge(from.node, to, network::fetch_bytes(&request, &reply));
+        self.charge(from.node, to, traffic::fetch_bytes(&request, &reply));
         if self.rng.f64() < self.faults.corruption {
             reply = Arc::new(corrupt(&reply));
         }
@@ -466,7 +467,7 @@
             None
         };
         if let Some(reading) = &reading {
-            self.nodes[query.node].bytes += read_bytes(&reading.text);
+            self.nodes[query.node].bytes += traffic::read_bytes(&reading.text);
         }
         let event = Event::Read {
             call: query.call,
@@ -500,18 +501,31 @@
     reply
 }
 
+/// Two texts and what they parse to.
+type ParsedSet = (String, String, Result<Arc<Set>>);
+
+/// The first bytes of a text, which hold its revision: a cheap key.
+fn start_of(text: &str) -> String {
+    text.chars().take(64).collect()
+}
+
 /// Parsers that share parsed documents between all processes of a run.
 ///
 /// Acceptance is a pure function of the texts, so sharing changes no result.
 pub fn memo_parsers() -> Parsers {
     let plain = Parsers::default();
-    let sets: Mutex<HashMap<String, Result<Arc<Set>>>> = Mutex::default();
+    let sets: Mutex<HashMap<String, Vec<ParsedSet>>> = Mutex::default();
     let lives: Mutex<HashMap<String, Result<Arc<Live>>>> = Mutex::default();
     let set = move |routes: &str, pools: &str| {
         let mut held = sets.lock().unwrap_or_else(|e| e.into_inner());
-        let digest = set_digest(routes, pools);
-        let parse = || (plain.set)(routes, pools);
-        held.entry(digest).or_insert_with(parse).clone()
+        let held = held.entry(start_of(routes)).or_default();
+        let same = |set: &&ParsedSet| set.0 == routes && set.1 == pools;
+        if let Some(known) = held.iter().find(same) {
+            return known.2.clone();
+        }
+        let parsed = (plain.set)(routes, pools);
+        held.push((routes.to_string(), pools.to_string(), parsed.clone()));
+        parsed
     };
     let live = move |text: &str| {
         let mut held = lives.lock().unwrap_or_else(|e| e.into_inner());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,8 @@
 pub mod platform;
 pub mod signal;
 pub mod suspects;
+pub mod tables;
+pub mod traffic;
 pub mod view;
 
 use slog::Logger;
@@ -13,8 +15,10 @@
 use crate::metric::Metrics;
 use crate::net::rpc::Channels;
 use crate::prelude::*;
+use crate::table::sync::Spread;
 
 pub use suspects::Suspects;
+pub use tables::Tables;
 pub use view::View;
 
 /// Identity, clock and connections of a process; clones share them.
@@ -30,6 +34,8 @@
     pub channels: Channels,
     /// Tables in force.
     pub view: View,
+    /// Spread of tables between the processes.
+    pub tables: Tables,
     /// Requests that crashed upstreams.
     pub suspects: Suspects,
     /// Metrics of the process.
@@ -39,13 +45,28 @@
 impl Node {
     /// A node without tables.
     pub fn new(settings: config::Node, log: Logger) -> Node {
+        Node::with_spread(settings, log, Spread::Peers)
+    }
+
+    /// A node that gets its tables in the given way.
+    pub fn with_spread(settings: config::Node, log: Logger, spread: Spread) -> Node {
+        let clock = Clock::new();
+        let view = View::default();
+        let tables = Tables::new(&settings, spread, clock, log.clone(), view.clone());
+        let suspects = Suspects::default();
+        let (own, others) = (suspects.clone(), suspects.clone());
+        tables.on_exchange(
+            move |notice| notice.suspects = own.export(clock.now()),
+            move |notice| others.merge(clock.now(), &notice.from, &notice.suspects),
+        );
         Node {
             settings: Arc::new(settings),
-            clock: Clock::new(),
+            clock,
             log,
             channels: Channels::default(),
-            view: View::default(),
-            suspects: Suspects::default(),
+            view,
+            tables,
+            suspects,
             metrics: Metrics::default(),
         }
     }
--- a/src/node/peer.rs
+++ b/src/node/peer.rs
@@ -4,7 +4,9 @@
 use tonic::Response;
 use tonic::Status;
 
+use crate::net::rpc;
 use crate::node::Node;
+use crate::prelude::*;
 use crate::proto;
 use crate::proto::peer_server::Peer;
 
@@ -19,18 +21,6 @@
     pub fn new(node: Node) -> PeerService {
         PeerService { node }
     }
-
-    fn notice(&self) -> proto::Notice {
-        let stamp = self.node.view.stamp();
-        proto::Notice {
-            from: self.node.settings.rpc.to_string(),
-            zone: self.node.settings.zone.clone(),
-            revision: stamp.revision,
-            digest: stamp.digest,
-            suspects: self.node.suspects.export(self.node.clock.now()),
-            ..proto::Notice::default()
-        }
-    }
 }
 
 #[tonic::async_trait]
@@ -38,28 +28,21 @@
     async fn exchange(
         &self,
         request: Request<proto::Notice>,
-    ) -> Result<Response<proto::Notice>, Status> {
-        let notice = request.into_inner();
-        let now = self.node.clock.now();
-        self.node
-            .suspects
-            .merge(now, &notice.from, &notice.suspects);
-        Ok(Response::new(self.notice()))
+    ) -> std::result::Result<Response<proto::Notice>, Status> {
+        Ok(Response::new(
+            self.node.tables.exchange(request.into_inner()),
+        ))
     }
 
     async fn fetch(
         &self,
-        _request: Request<proto::FetchRequest>,
-    ) -> Result<Response<proto::FetchReply>, Status> {
-        let Some(set) = self.node.view.get() else {
-            return Err(Status::unavailable("no tables are in force"));
+        request: Request<proto::FetchRequest>,
+    ) -> std::result::Result<Response<proto::FetchReply>, Status> {
+        let request = request.into_inner();
+        let Some(reply) = self.node.tables.fetch(&request) else {
+            let detail = format!("fetch of {:?}", request.kind);
+            return Err(rpc::to_status(&Error::new(Code::ProtocolInvalid, detail)));
         };
-        Ok(Response::new(proto::FetchReply {
-            revision: set.stamp.revision,
-            digest: set.stamp.digest.clone(),
-            routes: set.routes_text.clone(),
-            pools: set.pools_text.clone(),
-            ..proto::FetchReply::default()
-        }))
+        Ok(Response::new(proto::FetchReply::clone(&reply)))
     }
 }
--- a/src/table/delta.rs
+++ b/src/table/delta.rs
@@ -91,9 +91,12 @@
     section: &'a str,
     entry_indent: &mut Option<usize>,
 ) -> Option<Name<'a>> {
-    let body = line.trim_start_matches(' ');
-    let indent = line.len() - body.len();
-    let body = body.trim_end();
+    let indent = line.bytes().take_while(|byte| *byte == b' ').count();
+    // Most lines lie deeper than an entry; they are told by their indent alone.
+    if indent > 0 && entry_indent.is_some_and(|entry| indent > entry) {
+        return None;
+    }
+    let body = line[indent..].trim_end();
     if body.is_empty() || body.starts_with('#') {
         return None;
     }
--- a/src/table/sync/core.rs
+++ b/src/table/sync/core.rs
@@ -1,5 +1,6 @@
 //! The decision core of one process.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use crate::error::Code;
@@ -62,6 +63,15 @@
     pub(super) counters: Counters,
 }
 
+impl fmt::Debug for Core {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Core")
+            .field("addr", &self.settings.addr)
+            .field("in_force", &self.hold.stamp())
+            .finish_non_exhaustive()
+    }
+}
+
 impl Core {
     /// The core of a process that starts empty.
     pub fn new(settings: Settings, rng: fastrand::Rng) -> Core {
@@ -207,6 +217,11 @@
         &self.counters
     }
 
+    /// Peers that calls go to.
+    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.peers.all()
+    }
+
     /// Asks a peer that has shown a greater revision, as a request did.
     pub fn ask(&mut self, now: Millis, to: SocketAddr, out: &mut Vec<Action>) {
         self.exchange(now, to, out);
--- a/src/table/sync/peers.rs
+++ b/src/table/sync/peers.rs
@@ -18,6 +18,15 @@
 /// Peers in other zones.
 const OUTSIDE: usize = 8;
 
+/// Processes of other zones kept beside the peers, whether they answer or not.
+///
+/// In a long partition peers that don't answer are all replaced by ones on
+/// the same side; these links find the other side when it is back.
+const FAR: usize = 4;
+
+/// Share of rounds, one in this number, that go to a far process.
+const FAR_ROUNDS: u32 = 8;
+
 /// Callers remembered, as a way to processes that no list names yet.
 const RECENT: usize = 8;
 
@@ -27,7 +36,7 @@
 /// Peers of other zones notified of a change.
 const NOTIFY_OUTSIDE: usize = 1;
 
-/// Interval at which one peer is replaced, so that the graph mixes.
+/// Interval at which one peer inside and one outside is replaced, so that the graph mixes.
 const ROTATE: Millis = Millis(60_000);
 
 /// Misses in a row after which a peer is replaced.
@@ -59,11 +68,14 @@
 pub(super) struct Peers {
     inside: Vec<SocketAddr>,
     outside: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
     recent: Vec<SocketAddr>,
     open: Vec<Open>,
     next_round: Millis,
     next_rotate: Millis,
     dirty: bool,
+    /// Peers come from tables or live list, no longer from the seeds.
+    listed: bool,
 }
 
 impl Peers {
@@ -97,7 +109,14 @@
         if rotate {
             self.next_rotate = now.plus(Millis(rng.u64(ROTATE.0 / 2..=ROTATE.0 * 3 / 2)));
         }
+        if !self.listed && (lists.set.is_some() || !lists.live.vms.is_empty()) {
+            // Else all processes would keep the few seeds as peers.
+            self.listed = true;
+            self.inside.clear();
+            self.outside.clear();
+        }
         let (mut inside, mut outside) = candidates(lists);
+        self.far = rng.choose_multiple(outside.iter().copied(), FAR);
         fill(&mut self.inside, &mut inside, INSIDE, rotate, progress, rng);
         fill(
             &mut self.outside,
@@ -184,6 +203,9 @@
         // The mean stays at the interval; jitter keeps rounds from falling into step.
         let tenth = interval.0 / 10;
         self.next_round = now.plus(Millis(interval.0 - tenth + rng.u64(0..=2 * tenth)));
+        if !self.far.is_empty() && rng.u32(..FAR_ROUNDS) == 0 {
+            return Some(self.far[rng.usize(..self.far.len())]);
+        }
         self.any(rng)
     }
 
--- a/src/table/sync/stale.rs
+++ b/src/table/sync/stale.rs
@@ -55,6 +55,24 @@
         }
     }
 
+    /// Asks peers for what they hold; false when there are none.
+    ///
+    /// Views count as stale until one has answered.
+    pub fn refresh_now(&mut self, now: Millis, out: &mut Vec<Action>) -> bool {
+        self.note_time(now, out);
+        let asked = self.peers.some(ASKED, &mut self.rng);
+        for to in &asked {
+            self.exchange(now, *to, out);
+        }
+        if !asked.is_empty() {
+            self.stale.get_or_insert(Stale {
+                since: now,
+                goal: None,
+            });
+        }
+        !asked.is_empty()
+    }
+
     /// A peer answered an exchange that began at `sent` with `stamp`.
     pub(super) fn refresh(&mut self, sent: Millis, stamp: Stamp) {
         let Some(stale) = &mut self.stale else {
--- a/src/table/sync/start.rs
+++ b/src/table/sync/start.rs
@@ -21,6 +21,9 @@
 /// Time that peers get before the platform is asked.
 const PEERS_FIRST: Millis = Millis(1_000);
 
+/// Time that peers and jitter get at a seed, which the others wait for.
+const SEED_JITTER: Millis = Millis(500);
+
 /// Jitter of the first read of the platform.
 ///
 /// When a whole fleet of 2,400 restarts empty, the first reads are spread over
@@ -67,8 +70,13 @@
             self.start.platform_at = now.plus(Millis(self.rng.u64(0..=ALONE_JITTER.0)));
             return;
         }
-        let jitter = self.rng.u64(0..=FLEET_JITTER.0);
-        self.start.platform_at = now.plus(PEERS_FIRST).plus(Millis(jitter));
+        let seed = self.settings.seeds.contains(&self.settings.addr);
+        self.start.platform_at = if seed {
+            now.plus(Millis(self.rng.u64(SEED_JITTER.0 / 2..=SEED_JITTER.0)))
+        } else {
+            let jitter = self.rng.u64(0..=FLEET_JITTER.0);
+            now.plus(PEERS_FIRST).plus(Millis(jitter))
+        };
         for to in self.peers.some(ASKED, &mut self.rng) {
             if let Some(call) = self.exchange(now, to, out) {
                 self.start.asked.push(call);
