bench: Measure tables over loopback and under a virtual clock

Cause: the targets for tables need figures at 400 and 2,400 processes.

Change: `bench tables` runs the decision core under a virtual clock, and the node code over loopback up to 300 processes, with polling by every process as the baseline of the same run.

--- a/src/bench/tables/mod.rs
+++ b/src/bench/tables/mod.rs
@@ -1,6 +1,7 @@
 //! Spread of tables: randomised runs and measurements.
 
 pub mod ledger;
+pub mod loopback;
 pub mod network;
 pub mod platform;
 pub mod random;
@@ -8,3 +9,4 @@
 pub mod script;
 pub mod sim;
 pub mod texts;
+pub mod virtual_time;
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -3,6 +3,7 @@
 pub mod overhead;
 pub mod path;
 pub mod requests;
+pub mod tables;
 
 use std::process::ExitCode;
 
@@ -22,6 +23,7 @@
     Overhead(overhead::Args),
     Path(path::Args),
     Requests(requests::Args),
+    Tables(tables::Args),
 }
 
 /// Runs the experiment that the command line names.
@@ -30,5 +32,6 @@
         Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
         Experiment::Requests(args) => requests::run(args),
+        Experiment::Tables(args) => tables::run(args),
     }
 }
