--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -4,6 +4,7 @@
 pub mod overhead;
 pub mod path;
 pub mod requests;
+pub mod tables;
 
 use std::process::ExitCode;
 
@@ -24,6 +25,7 @@
     Overhead(overhead::Args),
     Path(path::Args),
     Requests(requests::Args),
+    Tables(tables::Args),
 }
 
 /// Runs the experiment that the command line names.
@@ -33,5 +35,6 @@
         Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
         Experiment::Requests(args) => requests::run(args),
+        Experiment::Tables(args) => tables::run(args),
     }
 }
