--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -4,6 +4,7 @@
 pub mod load;
 pub mod rpc;
 pub mod serve;
+pub mod transfer;
 pub mod weights;
 
 use http::Request;
--- a/src/rollout/plan/act.rs
+++ b/src/rollout/plan/act.rs
@@ -13,16 +13,19 @@
 use crate::time::Millis;
 
 /// Most chunks that one pull names; bounds the size of requests.
-const MAX_WANTED: usize = 64;
+const MAX_WANTED: usize = 128;
 
 /// Pulls outstanding for a manifest.
 ///
 /// A manifest is small, and waiting at one source only would make its way
 /// through the zone as long as the unluckiest chain of waits.
-const MANIFEST_PULLS: usize = 3;
+const MANIFEST_PULLS: usize = 2;
 
 /// Fan-out of the tree on which manifests travel.
-const MANIFEST_FANOUT: usize = 4;
+const MANIFEST_FANOUT: usize = 2;
+
+/// Chunks held until which pulls name the same chunks.
+const EARLY_CHUNKS: usize = 4;
 
 /// Takeover times for which a member that stepped in goes on fetching a stripe.
 const ACTING_FACTOR: u64 = 10;
@@ -65,7 +68,11 @@
     /// Starts pulls that bring a stripe into the zone, if that is this member's part.
     fn fill_outer(&mut self, now: Millis, index: usize, out: &mut Vec<Action>) {
         let reach = self.reach(now, index);
-        if reach == Level::Zone || self.stripes[index].outstanding >= self.settings.outer {
+        if self.stripes[index].outstanding >= self.settings.outer {
+            return;
+        }
+        if reach == Level::Zone {
+            self.ask_elder(now, index, out);
             return;
         }
         let mut open = self.open(index);
@@ -95,6 +102,28 @@
         self.start(now, source, Some(index), open, wait, out);
     }
 
+    /// Asks a member ranked before this one for a stripe that has gone quiet.
+    ///
+    /// Its answer tells a dead member from one that has nothing new, and the
+    /// random order in which chunks arrive from one that is silent.
+    fn ask_elder(&mut self, now: Millis, index: usize, out: &mut Vec<Action>) {
+        let stripe = &self.stripes[index];
+        if !stripe.is_due(now, self.settings.takeover) {
+            return;
+        }
+        let fit = |p: &Peer| !p.avoided(now) && !p.resting(now);
+        let fit = |key: &&Key<Peer>| self.peers.get(**key).is_some_and(fit);
+        let Some(elder) = stripe.elders().iter().find(fit).copied() else {
+            return;
+        };
+        let mut open = self.open(index);
+        open.truncate(MAX_WANTED);
+        if !open.is_empty() {
+            let wait = self.settings.wait;
+            self.start(now, Source::Peer(elder), Some(index), open, wait, out);
+        }
+    }
+
     fn reach(&self, now: Millis, index: usize) -> Level {
         if self.settings.shape == Shape::Direct {
             return Level::Origin;
@@ -175,7 +204,7 @@
         Some(Source::Peer(best[self.rng.usize(..best.len())]))
     }
 
-    /// Asks for the manifest: the parent in a tree, and a few neighbours.
+    /// Asks for the manifest: the parent in a tree, and a neighbour.
     fn fill_manifest(&mut self, now: Millis, out: &mut Vec<Action>) {
         let inner = self.pulls.values().filter(|p| p.stripe.is_none()).count();
         for lane in inner..MANIFEST_PULLS {
@@ -204,11 +233,19 @@
     }
 
     /// Missing chunks that neighbours may have and that no pull names.
-    fn unasked(&self, now: Millis) -> Vec<usize> {
+    ///
+    /// While little is held anywhere, pulls name the same chunks: a source
+    /// rarely holds any of a small share, and doubles are stopped when they start.
+    fn unasked(&self, now: Millis, early: bool) -> Vec<usize> {
         let count = self.settings.stripes;
         let outer: Vec<bool> = (0..count)
             .map(|s| self.reach(now, s) > Level::Zone && self.stripes[s].level > Level::Zone)
             .collect();
+        if early {
+            let sent: Vec<_> = self.pulls.values().filter_map(|p| p.sends).collect();
+            let free = |i: &usize| !outer[i % count] && !sent.contains(i);
+            return self.items.missing().filter(free).collect();
+        }
         let unasked = self.items.unasked();
         unasked.filter(|i| !outer[i % count]).collect()
     }
@@ -220,17 +257,26 @@
         if free == 0 {
             return;
         }
-        let mut unasked = self.unasked(now);
+        let early = self.items.held() < EARLY_CHUNKS;
+        let mut unasked = self.unasked(now, early);
         self.rng.shuffle(&mut unasked);
-        for lane in 0..free {
-            let share = unasked.len().div_ceil(free - lane).min(MAX_WANTED);
+        // A pull that named all that is left would leave the other lanes idle.
+        let missing = self.items.len() - self.items.held();
+        let share = missing.div_ceil(self.settings.lanes).min(MAX_WANTED);
+        for _ in 0..free {
+            let share = share.min(unasked.len());
             if share == 0 {
                 break;
             }
             let Some(source) = self.neighbour(now) else {
                 return;
             };
-            let items = unasked.split_off(unasked.len() - share);
+            let items = if early {
+                self.rng.shuffle(&mut unasked);
+                unasked.iter().copied().take(MAX_WANTED).collect()
+            } else {
+                unasked.split_off(unasked.len() - share)
+            };
             let wait = self.settings.wait;
             self.start(now, source, None, items, wait, out);
         }
@@ -274,7 +320,7 @@
                 continue;
             };
             let count = self.settings.stripes;
-            let unasked: Vec<_> = self.unasked(now);
+            let unasked: Vec<_> = self.unasked(now, false);
             let mut unasked: Vec<_> = unasked.into_iter().filter(|i| i % count == index).collect();
             let inner =
                 |p: &&Pull| p.stripe.is_none() && p.items.iter().all(|i| i % count == index);
@@ -321,6 +367,9 @@
         let pull = Pull {
             source,
             stripe,
+            sends: (items.len() == 1)
+                .then(|| items[0])
+                .filter(|_| source == Source::Origin),
             items,
             reserved: limit,
             wait,
--- a/src/rollout/plan/mod.rs
+++ b/src/rollout/plan/mod.rs
@@ -108,6 +108,8 @@
     Roster(Vec<Member>),
     /// Bytes of a pull arrived.
     Progress(u64),
+    /// The first bytes of a pull arrived; its source sends this chunk.
+    Started(u64, Digest),
     /// A pull ended with a whole chunk.
     Arrived(u64, Whole),
     /// The source of a pull holds nothing of what was asked, or has no room.
@@ -155,6 +157,8 @@
     pub wasted: u64,
     /// Chunks and manifests with a wrong digest.
     pub corrupt: u64,
+    /// Pulls stopped because another one already brings the same chunk.
+    pub doubled: u64,
     /// Pulls given up without progress.
     pub stalled: u64,
     /// Times that this member fetched a stripe in place of a silent one.
@@ -215,6 +219,7 @@
             Event::Target(target) => self.retarget(now, target, out),
             Event::Roster(members) => self.roster(now, members, out),
             Event::Progress(id) => self.progress(now, id),
+            Event::Started(id, digest) => self.started(now, id, digest, out),
             Event::Arrived(id, whole) => self.arrived(now, id, whole, out),
             Event::Nothing(id) => self.nothing(now, id),
             Event::Failed(id) => self.failed(now, id),
@@ -248,6 +253,27 @@
         self.target.filter(|_| self.ready)
     }
 
+    /// This member.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// True when this version's manifest and all its chunks are held and verified.
+    pub fn is_whole(&self, version: Digest) -> bool {
+        let Some(bytes) = self.store.get(version) else {
+            return false;
+        };
+        Manifest::parse(bytes, version).is_ok_and(|m| self.store.holds(&m))
+    }
+
+    /// Notes that bytes of a pull arrived; cheaper than the event.
+    pub fn progress(&mut self, now: Millis, id: u64) {
+        if let Some(pull) = self.pulls.get_mut(&id) {
+            pull.progress = now;
+            pull.started = true;
+        }
+    }
+
     /// Chunks held and chunks in all of the wanted version.
     pub fn counts(&self) -> (usize, usize) {
         (self.items.held(), self.items.len())
--- a/src/rollout/plan/pull.rs
+++ b/src/rollout/plan/pull.rs
@@ -32,6 +32,8 @@
     /// Stripe, for a pull that brings content into the zone.
     pub(super) stripe: Option<usize>,
     pub(super) items: Vec<usize>,
+    /// Chunk that the source sends, once known.
+    pub(super) sends: Option<usize>,
     pub(super) reserved: u64,
     pub(super) wait: Millis,
     pub(super) started: bool,
@@ -168,10 +170,29 @@
         Some(pull)
     }
 
-    pub(super) fn progress(&mut self, now: Millis, id: u64) {
+    /// The source of a pull has chosen; the other chunks it named are free again.
+    pub(super) fn started(&mut self, now: Millis, id: u64, digest: Digest, out: &mut Vec<Action>) {
+        self.progress(now, id);
+        let Some(pull) = self.pulls.get(&id) else {
+            return;
+        };
+        let matches = |i: &usize| self.items.chunk(*i).digest == digest;
+        let Some(index) = pull.items.iter().copied().find(matches) else {
+            // What was not asked for is refused when it is whole, with its source.
+            return;
+        };
+        let sent = |(other, p): (&u64, &Pull)| *other != id && p.sends == Some(index);
+        if self.items.is_held(index) || self.pulls.iter().any(sent) {
+            self.stats.doubled += 1;
+            self.remove(id);
+            out.push(Action::Cancel(id));
+            return;
+        }
         if let Some(pull) = self.pulls.get_mut(&id) {
-            pull.progress = now;
-            pull.started = true;
+            let rest: Vec<_> = pull.items.iter().copied().filter(|i| *i != index).collect();
+            pull.items = vec![index];
+            pull.sends = Some(index);
+            self.items.unask(&rest);
         }
     }
 
@@ -198,6 +219,11 @@
             self.read(now, digest, &bytes, out);
             return;
         }
+        if pull.stripe.is_none() {
+            // Someone else brings the stripe into the zone after all.
+            let count = self.stripes.len();
+            self.stripes[index % count].acting.0 = Millis(0);
+        }
         self.accept(now, index, whole, out);
     }
 
@@ -300,6 +326,9 @@
                 if let Some(peer) = self.peers.get_mut(key) {
                     peer.rest(now.plus(REST));
                 }
+                if let Some(stripe) = pull.stripe.and_then(|s| self.stripes.get_mut(s)) {
+                    stripe.hear(now, key);
+                }
             }
         }
     }
--- a/src/rollout/plan/stripe.rs
+++ b/src/rollout/plan/stripe.rs
@@ -13,6 +13,12 @@
 /// Candidates outside the zone that are kept for each stripe.
 const MAX_OUTER: usize = 16;
 
+/// Factor by which a member waits longer for one ranked before it that answers.
+///
+/// A slow origin keeps first ranks empty-handed as well; replacing them would
+/// only add to its load.
+const PATIENCE: u64 = 4;
+
 /// Answers without a chunk after which the next level is asked.
 const MAX_MISSES: u32 = 2;
 
@@ -45,8 +51,12 @@
     pub(super) level: Level,
     /// Answers without a chunk at this level in a row.
     pub(super) misses: u32,
+    /// First members of the pool that rank before this one.
+    ahead: Vec<Key<Peer>>,
     /// Last time that a chunk of the stripe arrived.
     pub(super) news: Millis,
+    /// Last time that a member ranked before this one said that it has nothing new.
+    heard: Millis,
     /// Until when this member fetches in place of a silent one, and how far.
     pub(super) acting: (Millis, Level),
     /// No pull to the origin before this time.
@@ -86,9 +96,16 @@
             zone: keys(&same_zone, usize::MAX),
             region: keys(&|m| same_region(m) && !same_zone(m), MAX_OUTER),
             fleet: keys(&|m| !same_region(m), MAX_OUTER),
+            ahead: ranked
+                .iter()
+                .take_while(|r| (r.0, r.1) < own)
+                .take(MAX_OUTER)
+                .map(|r| r.2)
+                .collect(),
             level: Level::Zone,
             misses: 0,
             news: now,
+            heard: Millis(0),
             acting: (Millis(0), Level::Zone),
             backoff: Millis(0),
             outstanding: 0,
@@ -111,9 +128,13 @@
     /// Ranks step in one after the other while no chunk of the stripe
     /// arrives, so that a dead first rank is replaced by one member, not by all.
     pub(super) fn reach(&self, now: Millis, takeover: Millis) -> Level {
-        let quiet = now.since(self.news).0;
         let levels = [Level::Region, Level::Fleet, Level::Origin];
-        let due = |rank: usize| quiet >= self.delay(rank, takeover);
+        let silent = now.since(self.news.max(self.heard)).0;
+        let quiet = now.since(self.news).0;
+        let due = |rank: usize| {
+            let delay = self.delay(rank, takeover);
+            silent >= delay || quiet >= PATIENCE * delay
+        };
         let called = levels
             .into_iter()
             .zip(self.ranks)
@@ -128,6 +149,24 @@
         self.duty().max(acting).max(called.unwrap_or(Level::Zone))
     }
 
+    /// True when members ranked before this one should be asked for a sign of life.
+    pub(super) fn is_due(&self, now: Millis, takeover: Millis) -> bool {
+        let silent = now.since(self.news.max(self.heard)).0;
+        silent + takeover.0 / 2 >= self.delay(self.ranks[0], takeover)
+    }
+
+    /// Members of the zone that rank before this one.
+    pub(super) fn elders(&self) -> &[Key<Peer>] {
+        &self.zone[..self.ranks[0].min(self.zone.len())]
+    }
+
+    /// Notes that `key` has nothing new, which matters when it ranks before this member.
+    pub(super) fn hear(&mut self, now: Millis, key: Key<Peer>) {
+        if self.elders().contains(&key) || self.ahead.contains(&key) {
+            self.heard = now;
+        }
+    }
+
     fn delay(&self, rank: usize, takeover: Millis) -> u64 {
         let base = rank.min(PATIENT_RANKS) as u64 * takeover.0;
         if rank < PATIENT_RANKS {
@@ -149,6 +188,7 @@
         self.level = old.level;
         self.misses = old.misses;
         self.news = old.news;
+        self.heard = old.heard;
         self.acting = old.acting;
         self.backoff = old.backoff;
         self.outstanding = old.outstanding;
--- a/src/rollout/serve.rs
+++ b/src/rollout/serve.rs
@@ -6,6 +6,11 @@
 use crate::rollout::store::Store;
 use crate::time::Millis;
 
+/// Time beyond its wait that a pull may spend in the queue for its turn.
+///
+/// Receivers give up a source after a longer silence than this.
+const QUEUE_TIME: Millis = Millis(1_000);
+
 /// A pull that waits at this source.
 #[derive(Clone, Debug)]
 struct Ask {
@@ -108,8 +113,15 @@
     }
 
     /// Ends waits that are over.
-    pub fn tick(&mut self, now: Millis, out: &mut Vec<Answer>) {
-        let over = self.waiting.iter().filter(|(_, ask)| ask.deadline <= now);
+    ///
+    /// A pull that only waits for its turn stays a little longer, because its
+    /// sender would come back with the same request.
+    pub fn tick(&mut self, now: Millis, store: &Store, out: &mut Vec<Answer>) {
+        let over = self.waiting.iter().filter(|(_, ask)| {
+            let useful = ask.wanted.iter().any(|p| store.find(*p).is_some());
+            let grace = if useful { QUEUE_TIME } else { Millis(0) };
+            ask.deadline.plus(grace) <= now
+        });
         for id in over.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.waiting.shift_remove(&id);
             out.push(Answer::Nothing(id));
--- a/tests/rollout_core.rs
+++ b/tests/rollout_core.rs
@@ -113,6 +113,6 @@
     assert_eq!(out, [Answer::Send(1, b)]);
     out.clear();
     uploads.sent(&store, &mut out);
-    uploads.tick(Millis(50), &mut out);
+    uploads.tick(Millis(50), &store, &mut out);
     assert_eq!(out, [Answer::Nothing(2)]);
 }
--- a/tests/rollout_random.rs
+++ b/tests/rollout_random.rs
@@ -207,7 +207,7 @@
         match step {
             Step::Tick => {
                 agent.planner.tick(now, &mut actions);
-                agent.uploads.tick(now, &mut answers);
+                agent.uploads.tick(now, agent.planner.store(), &mut answers);
                 self.post(100, index, Step::Tick);
             }
             Step::Event(event) => {
@@ -276,8 +276,9 @@
         if self.faults && self.rng.u8(..) < 5 {
             bytes = Bytes::from_static(b"other content");
         }
-        self.send(to, time / 2, Step::Event(Event::Progress(pull)));
         let whole = Whole::new(bytes);
+        let started = Event::Started(pull, whole.digest());
+        self.send(to, time / 2, Step::Event(started));
         self.send(to, time, Step::Event(Event::Arrived(pull, whole)));
     }
 
