bench: Add the rollout benchmark

Cause: targets for rollouts need figures from the agent's own transfer code.

Change: `bench rollout` fills VMs in one process over loopback TCP with emulated links and reports time over the fluid bound, origin and region copies and waste; `--faults loss` ends and stalls VMs and corrupts chunks.

--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Load and experiment tool: one subcommand an experiment.
 
 pub mod path;
+pub mod rollout;
 
 use std::process::ExitCode;
 
@@ -18,11 +19,13 @@
 #[argh(subcommand)]
 enum Experiment {
     Path(path::Args),
+    Rollout(rollout::Args),
 }
 
 /// Runs the experiment that the command line names.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     match &args.experiment {
         Experiment::Path(args) => path::run(args),
+        Experiment::Rollout(args) => rollout::run(args),
     }
 }
