--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -1,6 +1,9 @@
 //! Load and experiment tool: one subcommand an experiment.
 
+pub mod capacity;
+pub mod overhead;
 pub mod path;
+pub mod requests;
 pub mod rollout;
 
 use std::process::ExitCode;
@@ -18,14 +21,20 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
+    Capacity(capacity::Args),
+    Overhead(overhead::Args),
     Path(path::Args),
+    Requests(requests::Args),
     Rollout(rollout::Args),
 }
 
 /// Runs the experiment that the command line names.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     match &args.experiment {
+        Experiment::Capacity(args) => capacity::run(args),
+        Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
+        Experiment::Requests(args) => requests::run(args),
         Experiment::Rollout(args) => rollout::run(args),
     }
 }
--- a/src/gate/admit.rs
+++ b/src/gate/admit.rs
@@ -25,8 +25,6 @@
     pub pool: String,
     /// Model of the pool; empty for services.
     pub model: String,
-    /// Manifest digest that the pool names; empty for services.
-    pub digest: String,
     /// Revision of the tables.
     pub revision: u64,
     /// True when a plain service without weights is behind the agent.
@@ -41,7 +39,7 @@
     pub pool: String,
     /// Model of that pool.
     pub model: String,
-    /// Manifest digest of that pool.
+    /// Manifest digest of the version wanted.
     pub digest: String,
     /// Table revision of the entry.
     pub revision: u64,
@@ -64,6 +62,11 @@
     pub fn deadline(&self) -> Millis {
         self.deadline
     }
+
+    /// True when the request goes to a plain service, whose answers name no weights.
+    pub fn is_service(&self) -> bool {
+        self.service
+    }
 }
 
 common! { value
@@ -99,6 +102,8 @@
     ordering: bool,
     leaving: Option<Millis>,
     stale: bool,
+    /// Length of the pause after which the view became stale.
+    pause: Millis,
     running: usize,
     last: Millis,
 }
@@ -182,12 +187,15 @@
     pub fn refreshed(&mut self, now: Millis) {
         self.last = now;
         self.stale = false;
+        self.pause = Millis(0);
     }
 
     /// Notes the time; a large step makes the view stale.
     pub fn observe(&mut self, now: Millis) {
-        if now.since(self.last) > MAX_STEP {
+        let step = now.since(self.last);
+        if step > MAX_STEP {
             self.stale = true;
+            self.pause = self.pause.max(step);
         }
         self.last = self.last.max(now);
     }
@@ -207,9 +215,9 @@
         self.running
     }
 
-    /// True when a request of the pool in force could be admitted.
+    /// True when a request of the pool in force for the version held could be admitted.
     pub fn is_serving(&self) -> bool {
-        let ready = |own: &Own| self.unfit(&own.digest, own.service).is_none();
+        let ready = |own: &Own| self.unfit(&self.whole, own.service).is_none();
         !self.stale && self.leaving.is_none() && self.own.as_ref().is_some_and(ready)
     }
 
@@ -219,7 +227,8 @@
     /// the state is taken as it is, since other sources may be unreachable.
     pub fn admit(&mut self, now: Millis, ask: &Ask, refreshed: bool) -> Verdict {
         self.observe(now);
-        if ask.deadline <= now {
+        // A request that arrived during a pause may have waited for all of it.
+        if ask.deadline <= now.plus(self.pause) {
             return Verdict::Refuse(Code::DeadlineExceeded);
         }
         if self.leaving.is_some() {
@@ -232,8 +241,9 @@
         let Some(own) = &self.own else {
             return Verdict::Refuse(Code::TablesMissing);
         };
-        let same = own.pool == ask.pool && own.model == ask.model && own.digest == ask.digest;
-        if !same {
+        // The digest is that of the version held, which may be the one before the
+        // pool's while the pool is reloaded in turns.
+        if own.pool != ask.pool || own.model != ask.model {
             return Verdict::Refuse(Code::VersionMismatch);
         }
         if let Some(code) = self.unfit(&ask.digest, own.service) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,15 @@
 pub mod bench;
 pub mod cmd;
 pub mod config;
+pub mod demo;
 pub mod entry;
 pub mod error;
 pub mod gate;
+pub mod limit;
 pub mod log;
 pub mod macros;
+pub mod member;
+pub mod metric;
 pub mod net;
 pub mod node;
 pub mod once;
@@ -21,7 +25,12 @@
     reason = "generated code"
 )]
 pub mod proto;
+pub mod report;
+pub mod retry;
 pub mod rollout;
+pub mod route;
+pub mod scenario;
+pub mod sched;
 pub mod standin;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/src/route/choose.rs
@@ -0,0 +1,323 @@
+//! Choice of an upstream by what the entry itself observes.
+
+use fastrand::Rng;
+
+use crate::arena::Arena;
+use crate::arena::Key;
+use crate::common;
+use crate::route::affinity::Affinity;
+use crate::route::eject::Ejector;
+use crate::route::eject::Signal;
+use crate::route::subset::Member;
+use crate::route::upstream::Ask;
+use crate::route::upstream::Call;
+use crate::route::upstream::Outcome;
+use crate::route::upstream::Report;
+use crate::route::upstream::Upstream;
+use crate::time::Millis;
+
+/// Most that a prefix match may lower a score; a popular prefix must not
+/// overload its holder.
+const AFFINITY_BOUND: f64 = 0.3;
+
+/// Scores within this ratio of the best are equal; the draw among them keeps
+/// entries with like views from choosing alike.
+const TIE: f64 = 1.02;
+
+common! { key
+/// How an upstream is chosen; all but the first are baselines for benchmarks.
+#[derive(Default)]
+pub enum Policy {
+    /// Lowest expected time, with ejection and affinity.
+    #[default]
+    Expected,
+    /// In turn.
+    RoundRobin,
+    /// Fewest calls in progress from this entry.
+    LeastRequests,
+    /// The one with fewer calls in progress of two drawn at random.
+    RandomTwo,
+}
+}
+
+/// The upstreams of one pool in this entry's subset.
+#[derive(Debug)]
+pub struct Chooser {
+    policy: Policy,
+    turn: usize,
+    upstreams: Arena<Upstream>,
+    calls: Arena<Call>,
+    /// Prefixes and their likely holders.
+    pub affinity: Affinity,
+    ejector: Ejector,
+    rng: Rng,
+}
+
+impl Chooser {
+    /// A chooser without upstreams.
+    pub fn new(seed: u64) -> Chooser {
+        Chooser::with_policy(seed, Policy::Expected)
+    }
+
+    /// A chooser without upstreams that chooses by `policy`.
+    pub fn with_policy(seed: u64, policy: Policy) -> Chooser {
+        Chooser {
+            policy,
+            turn: 0,
+            upstreams: Arena::default(),
+            calls: Arena::default(),
+            affinity: Affinity::default(),
+            ejector: Ejector::default(),
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes over a new subset; what is known of upstreams that stay is kept.
+    pub fn set_members(&mut self, zone: &str, members: &[Member]) {
+        let held: Vec<_> = self
+            .upstreams
+            .iter()
+            .map(|(k, u)| (k, u.name.clone()))
+            .collect();
+        for (key, name) in held {
+            match members.iter().find(|m| m.name == name) {
+                Some(member) => self.set_ready(key, member.ready),
+                // Calls in progress end at their own pace; until then the entity stays.
+                None => self.set_ready(key, false),
+            }
+            let gone = members.iter().all(|m| m.name != name);
+            let idle = self.upstreams.get(key).is_some_and(|u| u.calls == 0);
+            if gone && idle {
+                self.upstreams.remove(key);
+                self.affinity.forget(key);
+            }
+        }
+        for member in members {
+            if self.find(&member.name).is_none() {
+                let mut upstream = Upstream::new(&member.name, member.zone == zone);
+                upstream.ready = member.ready;
+                self.upstreams.insert(upstream);
+            }
+        }
+    }
+
+    /// Marks an upstream as taking new work or not.
+    pub fn set_ready(&mut self, key: Key<Upstream>, ready: bool) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.ready = ready;
+        }
+    }
+
+    /// The upstream called `name`.
+    pub fn find(&self, name: &str) -> Option<Key<Upstream>> {
+        self.upstreams
+            .iter()
+            .find(|(_, u)| u.name == name)
+            .map(|(key, _)| key)
+    }
+
+    /// The upstream of `key`.
+    pub fn get(&self, key: Key<Upstream>) -> Option<&Upstream> {
+        self.upstreams.get(key)
+    }
+
+    /// All upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (Key<Upstream>, &Upstream)> {
+        self.upstreams.iter()
+    }
+
+    /// Calls in progress at all upstreams.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// The best upstream that is not in `without`.
+    pub fn pick(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        without: &[Key<Upstream>],
+    ) -> Option<Key<Upstream>> {
+        if self.policy != Policy::Expected {
+            return self.pick_plain(now, ask, without);
+        }
+        if let Some(probe) = self.probe(now, ask, without) {
+            return Some(probe);
+        }
+        let mut scored: Vec<(f64, Key<Upstream>)> = Vec::new();
+        for (key, upstream) in self.upstreams.iter() {
+            if without.contains(&key) || !upstream.open(now, ask) || upstream.health.is_probing() {
+                continue;
+            }
+            let belief = ask
+                .prefix
+                .map_or(0.0, |p| self.affinity.belief(now, p, key));
+            let factor = 1.0 - AFFINITY_BOUND * belief;
+            scored.push((upstream.score(now, ask) * factor, key));
+        }
+        let best = scored
+            .iter()
+            .map(|(score, _)| *score)
+            .fold(f64::INFINITY, f64::min);
+        scored.retain(|(score, _)| *score <= best * TIE);
+        if scored.is_empty() {
+            return self.last_resort(now, ask, without);
+        }
+        let index = self.rng.usize(0..scored.len());
+        Some(scored[index].1)
+    }
+
+    /// The least loaded upstream among those that are ejected or probed.
+    ///
+    /// An upstream that was restarted is still held back here when the last
+    /// other one fails; refusing the request without an attempt would lose it.
+    fn last_resort(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        without: &[Key<Upstream>],
+    ) -> Option<Key<Upstream>> {
+        let held = self.upstreams.iter();
+        let held = held.filter(|(key, u)| u.ready && u.busy <= now && !without.contains(key));
+        let best = held.min_by(|(_, a), (_, b)| a.score(now, ask).total_cmp(&b.score(now, ask)));
+        let key = best.map(|(key, _)| key)?;
+        self.upstreams.get_mut(key)?.health.probe_now();
+        Some(key)
+    }
+
+    /// The choice of a baseline policy.
+    fn pick_plain(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        without: &[Key<Upstream>],
+    ) -> Option<Key<Upstream>> {
+        let open = self.upstreams.iter();
+        let open = open.filter(|(key, u)| !without.contains(key) && u.open(now, ask));
+        let open: Vec<_> = open.map(|(key, u)| (u.calls, key)).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let count = open.len();
+        let least = |set: &[(u32, Key<Upstream>)]| {
+            let best = set.iter().min_by_key(|(calls, _)| *calls);
+            best.map(|(_, key)| *key)
+        };
+        self.turn += 1;
+        match self.policy {
+            Policy::Expected | Policy::RoundRobin => Some(open[self.turn % count].1),
+            // The search starts at another place each time, so that ties are spread.
+            Policy::LeastRequests => {
+                let mut turned = open;
+                turned.rotate_left(self.turn % count);
+                least(&turned)
+            }
+            Policy::RandomTwo => {
+                let a = self.rng.usize(0..count);
+                let b = (a + self.rng.usize(1..count.max(2))) % count;
+                least(&[open[a], open[b]])
+            }
+        }
+    }
+
+    /// An ejected upstream whose turn to be probed has come.
+    fn probe(&self, now: Millis, ask: &Ask, without: &[Key<Upstream>]) -> Option<Key<Upstream>> {
+        if !ask.repeatable || !ask.short {
+            return None;
+        }
+        self.upstreams
+            .iter()
+            .find(|(key, u)| {
+                u.health.is_probing() && u.open(now, ask) && u.calls == 0 && !without.contains(key)
+            })
+            .map(|(key, _)| key)
+    }
+
+    /// Counts a call that was sent.
+    pub fn sent(&mut self, now: Millis, key: Key<Upstream>, ask: &Ask) -> Option<Key<Call>> {
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.calls += 1;
+        upstream.long_calls += u32::from(!ask.short);
+        upstream.health.on_sent();
+        Some(self.calls.insert(Call {
+            upstream: key,
+            cost: ask.cost,
+            short: ask.short,
+            sent: now,
+            begun: false,
+            prefix: ask.prefix,
+        }))
+    }
+
+    /// Counts the first frame of a call's answer; the result is the time it took.
+    pub fn begun(&mut self, now: Millis, key: Key<Call>) -> Option<Millis> {
+        let call = self.calls.get_mut(key)?;
+        if std::mem::replace(&mut call.begun, true) {
+            return None;
+        }
+        Some(now.since(call.sent))
+    }
+
+    /// Counts one interval between frames of one answer, in milliseconds.
+    pub fn gap(&mut self, key: Key<Call>, gap: f64) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(call.upstream) {
+            upstream.window.add(Signal::Gap, gap);
+        }
+    }
+
+    /// Counts the end of a call.
+    pub fn ended(&mut self, now: Millis, key: Key<Call>, outcome: Outcome) -> Option<Call> {
+        let call = self.calls.remove(key)?;
+        if let Some(upstream) = self.upstreams.get_mut(call.upstream) {
+            assert!(upstream.calls > 0, "a call ends once");
+            upstream.calls -= 1;
+            upstream.long_calls -= u32::from(!call.short);
+            upstream.note(now, &call, outcome);
+        }
+        if outcome == Outcome::Done
+            && let Some(prefix) = call.prefix
+        {
+            self.affinity.served(now, prefix, call.upstream);
+        }
+        Some(call)
+    }
+
+    /// Takes over a load report if it is newer than the one held; what exceeds
+    /// the own calls is the load of other entries.
+    pub fn report(&mut self, key: Key<Upstream>, report: Report) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if upstream.reported <= report.taken {
+            let all = report.running + report.queued;
+            upstream.others = f64::from(all.saturating_sub(upstream.calls));
+            upstream.reported = report.taken;
+        }
+    }
+
+    /// Earliest time at which a ready upstream takes work, for Retry-After.
+    pub fn reopens(&self, now: Millis) -> Option<Millis> {
+        let ready = self.upstreams.iter().filter(|(_, u)| u.ready);
+        ready.map(|(_, u)| u.busy.max(now)).min()
+    }
+
+    /// Ejects slow upstreams and readmits them.
+    pub fn tick(&mut self, now: Millis) {
+        if self.policy != Policy::Expected {
+            return;
+        }
+        let overdue = self.overdue(now);
+        self.ejector.tick(now, &mut self.upstreams, &overdue);
+    }
+
+    /// Upstreams with a call that should have begun long ago, with its age.
+    fn overdue(&self, now: Millis) -> Vec<(Key<Upstream>, f64)> {
+        let waiting = self.calls.iter().filter(|(_, call)| !call.begun);
+        waiting
+            .map(|(_, call)| (call.upstream, now.since(call.sent).0 as f64))
+            .collect()
+    }
+}
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -21,8 +21,6 @@
 use serde_json::Value;
 use serde_json::json;
 use smol::channel;
-use smol::lock::Semaphore;
-use smol::lock::SemaphoreGuardArc;
 
 use crate::error::Code;
 use crate::error::Error;
@@ -33,6 +31,8 @@
 use crate::net::rt;
 use crate::standin;
 use crate::standin::Running;
+use crate::standin::batch::Rank;
+use crate::standin::batch::Slots;
 use crate::util;
 
 /// Largest request body, in bytes.
@@ -67,6 +67,7 @@
     loading: bool,
     running: usize,
     loads: u64,
+    started: u64,
     slow: u64,
     runs: IndexMap<String, u64>,
     fail_loads: u64,
@@ -77,7 +78,7 @@
 pub struct Engine {
     behaviour: Behaviour,
     state: Arc<Mutex<State>>,
-    slots: Arc<Semaphore>,
+    slots: Slots,
 }
 
 /// A load order.
@@ -100,6 +101,9 @@
     stream: bool,
     #[serde(default)]
     resume_from: u64,
+    /// Requests with a lower number run first.
+    #[serde(default)]
+    priority: i64,
 }
 
 fn default_tokens() -> u64 {
@@ -116,7 +120,7 @@
         Engine {
             behaviour,
             state: Arc::new(Mutex::new(state)),
-            slots: Arc::new(Semaphore::new(behaviour.batch)),
+            slots: Slots::new(behaviour.batch),
         }
     }
 
@@ -135,6 +139,11 @@
         self.lock().runs.clone()
     }
 
+    /// Requests received so far, orders and reports not counted.
+    pub fn started(&self) -> u64 {
+        self.lock().started
+    }
+
     /// Digest of the loaded version; empty when none.
     pub fn loaded(&self) -> String {
         self.lock().digest.clone()
@@ -168,8 +177,14 @@
                 let runs = self.runs();
                 standin::json(StatusCode::OK, &json!(runs))
             }
-            (Method::POST, "/v1/completions") => self.complete(request).await,
-            _ => self.service(request).await,
+            (Method::POST, "/v1/completions") => {
+                self.lock().started += 1;
+                self.complete(request).await
+            }
+            _ => {
+                self.lock().started += 1;
+                self.service(request).await
+            }
         }
     }
 
@@ -270,11 +285,11 @@
         if completion.stream {
             return self.stream(completion);
         }
-        let slot = self.slots.acquire_arc().await;
-        let _running = Count::new(self.clone(), slot);
+        let rank = self.slots.rank(completion.priority);
+        let _running = Count::new(self.clone());
         let mut text = String::new();
         for index in 0..completion.max_tokens {
-            self.token_time().await;
+            self.token_time(rank).await;
             text.push_str(&token(&completion.prompt, index));
         }
         let digest = self.lock().digest.clone();
@@ -285,10 +300,10 @@
         let (sender, receiver) = channel::bounded(16);
         let engine = self.clone();
         rt::spawn(async move {
-            let slot = engine.slots.acquire_arc().await;
-            let _running = Count::new(engine.clone(), slot);
+            let rank = engine.slots.rank(completion.priority);
+            let _running = Count::new(engine.clone());
             for index in completion.resume_from..completion.max_tokens {
-                engine.token_time().await;
+                engine.token_time(rank).await;
                 let digest = engine.lock().digest.clone();
                 let event = event(&token(&completion.prompt, index), &digest);
                 let bytes = Bytes::from(format!("data: {event}\n\n"));
@@ -311,7 +326,9 @@
         response
     }
 
-    async fn token_time(&self) {
+    /// Waits for a slot of the batch and then for the time of one token.
+    async fn token_time(&self, rank: Rank) {
+        let _slot = self.slots.acquire(rank).await;
         let slow = self.lock().slow;
         smol::Timer::after(Duration::from_micros(self.behaviour.token_us * slow)).await;
     }
@@ -322,15 +339,15 @@
         let Ok(sent) = body::read(request.into_body(), MAX_BODY).await else {
             return standin::text(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
         };
-        let slot = self.slots.acquire_arc().await;
-        let _running = Count::new(self.clone(), slot);
+        let rank = self.slots.rank(0);
+        let _running = Count::new(self.clone());
         let count = {
             let mut state = self.lock();
             let count = state.runs.entry(key.clone()).or_default();
             *count += 1;
             *count
         };
-        self.token_time().await;
+        self.token_time(rank).await;
         let answer = json!({
             "path": path,
             "key": key,
@@ -341,19 +358,15 @@
     }
 }
 
-/// Counts a running request for the load report and holds its batch slot.
+/// Counts a request in progress for the load report.
 struct Count {
     engine: Engine,
-    _slot: SemaphoreGuardArc,
 }
 
 impl Count {
-    fn new(engine: Engine, slot: SemaphoreGuardArc) -> Count {
+    fn new(engine: Engine) -> Count {
         engine.lock().running += 1;
-        Count {
-            engine,
-            _slot: slot,
-        }
+        Count { engine }
     }
 }
 
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -1,9 +1,11 @@
 //! Routes and pools: the two tables that operators write, and their join.
 
 pub mod check;
+pub mod delta;
 pub mod doc;
 pub mod join;
 pub mod matcher;
+pub mod sync;
 
 pub use doc::PoolsDoc;
 pub use doc::RoutesDoc;
