--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,4 +3,5 @@
 pub mod capacity;
 pub mod fleet;
 pub mod requests;
+pub mod rollout;
 pub mod tables;
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -4,6 +4,7 @@
 pub mod overhead;
 pub mod path;
 pub mod requests;
+pub mod rollout;
 pub mod tables;
 
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
     Path(path::Args),
     Requests(requests::Args),
     Tables(tables::Args),
+    Rollout(rollout::Args),
 }
 
 /// Runs the experiment that the command line names.
@@ -36,5 +38,6 @@
         Experiment::Path(args) => path::run(args),
         Experiment::Requests(args) => requests::run(args),
         Experiment::Tables(args) => tables::run(args),
+        Experiment::Rollout(args) => rollout::run(args),
     }
 }
