status: Read the dumps of today's entry and agent

Cause: entry and agent moved requests in progress to `pools` and `guard`, so `status` and the gauge request.running read 0 and a stopping agent was shown as serving. The test of states has one case more, an agent that stops.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -13,6 +13,7 @@
 use crate::cmd::output::Format;
 use crate::error::Error;
 use crate::net::rt;
+use crate::node::admin;
 
 /// Hex digits of a digest that are shown.
 const SHORT_DIGEST: usize = 12;
@@ -126,15 +127,9 @@
         row.pool = text("duty.pool").unwrap_or_default();
         row.wanted = text("duty.digest").unwrap_or_default();
         row.held = text("loaded").unwrap_or_default();
-        row.is_leaving = ["duty.drain", "gate.closed", "leaving"]
-            .into_iter()
-            .any(is_true);
-        row.running = match part("flights").and_then(Value::as_object) {
-            Some(flights) => flights.values().filter_map(Value::as_u64).sum(),
-            None => part("gate.running")
-                .and_then(Value::as_u64)
-                .unwrap_or_default(),
-        };
+        // A reason to leave is a word, and null while there is none.
+        row.is_leaving = is_true("duty.drain") || text("guard.leaving").is_some();
+        row.running = admin::running(&dump);
         row
     }
 
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -34,12 +34,20 @@
     }
 }
 
+/// Requests in progress according to a dump: calls of an entry to all pools,
+/// or requests that an agent has dispatched.
+pub fn running(dump: &Value) -> u64 {
+    let Some(pools) = dump["pools"].as_object() else {
+        return dump["guard"]["dispatched"].as_u64().unwrap_or(0);
+    };
+    let upstreams = pools.values().filter_map(|p| p["upstreams"].as_object());
+    let calls = upstreams.flat_map(|u| u.values().filter_map(|held| held["calls"].as_u64()));
+    calls.sum()
+}
+
 /// Sets the gauges from the same state that operators see in the dump.
 fn gauges(node: &Node, dump: &Value) {
-    let running = match dump["flights"].as_object() {
-        Some(flights) => flights.values().filter_map(Value::as_u64).sum(),
-        None => dump["gate"]["running"].as_u64().unwrap_or(0),
-    };
+    let running = running(dump);
     let uptime = node.clock.now().since(node.clock.started());
     let is_refusing = node.view.refused().is_some();
     let metrics = &node.metrics;
--- a/tests/cli_status.rs
+++ b/tests/cli_status.rs
@@ -20,7 +20,8 @@
 
 fn entry(revision: u64) -> Value {
     json!({
-        "role": "entry", "name": "entry-1", "zone": "a", "flights": { "chat-1": 2, "chat-2": 1 },
+        "role": "entry", "name": "entry-1", "zone": "a",
+        "pools": { "chat": { "upstreams": { "chat-1": { "calls": 2 }, "chat-2": { "calls": 1 } } } },
         "tables": { "revision": revision, "digest": "sha256:aa", "refused": null },
     })
 }
@@ -30,7 +31,7 @@
         "role": "agent", "name": name, "zone": "a", "loaded": loaded,
         "tables": { "revision": 7, "digest": "sha256:aa", "refused": null },
         "duty": { "pool": "chat", "model": "chat", "digest": "sha256:0123456789abcdef", "drain": drain },
-        "gate": { "running": 1, "closed": false, "limit": 16 },
+        "guard": { "dispatched": 1, "serving": true, "leaving": null },
     })
 }
 
@@ -48,12 +49,15 @@
     let silent = Error::new(Code::RpcFailed, "nothing within 2000 ms");
     let mut refusing = entry(7);
     refusing["tables"]["refused"] = json!("E2004 routes:6");
+    let mut stopping = agent("chat-4", "sha256:0123456789abcdef", false);
+    stopping["guard"]["leaving"] = json!("stop");
     let status = Status::new(vec![
         row(refusing),
         row(entry(0)),
         row(agent("chat-1", "sha256:0123456789abcdef", false)),
         row(agent("chat-2", "", false)),
         row(agent("chat-3", "sha256:0123456789abcdef", true)),
+        row(stopping),
         Row::new(addr(9), Err(silent)),
     ]);
     assert!(!status.summary.is_settled);
