route: Use an upstream that was not reached as the last resort

An upstream that refused without a time, or could not be connected to, got nothing for 250 ms. When the only other upstream then failed, the request was given up although the first was back. Such an upstream is now avoided only while another one is open, the one that refused longest ago goes first, and a whole answer ends it. A time that the upstream gave itself is still honoured.

--- a/src/route/flight.rs
+++ b/src/route/flight.rs
@@ -19,7 +19,7 @@
 /// Retry-After when nothing better is known.
 const RETRY_AFTER: Millis = Millis(1_000);
 
-/// Time for which an upstream that refused gets nothing, if it gave none.
+/// Time for which an upstream that refused is avoided, if it gave none.
 const CLOSED: Millis = Millis(250);
 
 #[derive(Clone, Debug)]
@@ -153,7 +153,10 @@
         };
         let outcome = match (error.run, error.code) {
             (Run::NotRun, Code::UpstreamBusy) => Outcome::Busy,
-            (Run::NotRun, _) => Outcome::Refused(now.plus(error.retry.unwrap_or(CLOSED))),
+            (Run::NotRun, _) => match error.retry {
+                Some(after) => Outcome::Refused(now.plus(after)),
+                None => Outcome::Avoided(now.plus(CLOSED)),
+            },
             _ => Outcome::Failed,
         };
         self.close(now, index, outcome, router);
--- a/src/route/upstream.rs
+++ b/src/route/upstream.rs
@@ -25,6 +25,9 @@
 /// another zone is used: the round trip and the room that its own zone lacks.
 const REMOTE_PENALTY: f64 = 4.0;
 
+/// Score of an upstream that is used only if no other is open.
+const LAST_RESORT: f64 = 1e6;
+
 /// A response counts as at most this many times the expected one.
 const OVERRUN: f64 = 4.0;
 
@@ -84,6 +87,9 @@
     Busy,
     /// Refused before the run; the upstream takes nothing until this time.
     Refused(Millis),
+    /// Refused before the run without a time, or not reached; until this time
+    /// it is used only if no other upstream is open.
+    Avoided(Millis),
     /// Broken link, crash or time-out.
     Failed,
     /// Cancelled by this entry.
@@ -111,6 +117,7 @@
     pub(crate) others: f64,
     pub(crate) reported: Millis,
     pub(crate) busy: Millis,
+    pub(crate) avoid: Millis,
 }
 
 impl Upstream {
@@ -129,6 +136,7 @@
             others: 0.0,
             reported: Millis(0),
             busy: Millis(0),
+            avoid: Millis(0),
         }
     }
 
@@ -148,7 +156,14 @@
         let age = now.since(self.reported).0 as f64;
         let others = self.others * long.midpoint(1.0) * REPORT_HALF / (REPORT_HALF + age);
         let remote = if self.local { 0.0 } else { REMOTE_PENALTY };
-        self.pace_at(now) * (1.0 + own + others + remote)
+        // Of several, the one that refused longest ago is tried first.
+        let left = self.avoid.since(now).0 as f64;
+        let avoided = if left > 0.0 {
+            LAST_RESORT * (1.0 + left)
+        } else {
+            0.0
+        };
+        self.pace_at(now) * (1.0 + own + others + remote) + avoided
     }
 
     /// Response time relative to the expected one, forgotten with time.
@@ -169,8 +184,10 @@
                 self.paced = now;
                 self.window.add(Signal::Response, ratio);
                 self.failures = 0;
+                self.avoid = Millis(0);
             }
             Outcome::Refused(until) => self.busy = until,
+            Outcome::Avoided(until) => self.avoid = until,
             Outcome::Failed => self.failures += 1,
             Outcome::Busy | Outcome::Cancelled => {}
         }
--- a/tests/route_choice.rs
+++ b/tests/route_choice.rs
@@ -98,6 +98,20 @@
     assert_eq!(chooser.pick(later, &ask(None), &[]), Some(first));
 }
 
+// Guards against a request that fails although the one upstream left, which
+// was not reached a moment ago, is back.
+#[test]
+fn avoided_are_last_resort() {
+    let mut chooser = Chooser::new(1);
+    chooser.set_members("a", &members("a", 2));
+    let first = chooser.find("a-0").expect("member");
+    let second = chooser.find("a-1").expect("member");
+    let call = chooser.sent(NOW, first, &ask(None)).expect("held");
+    chooser.ended(NOW, call, Outcome::Avoided(NOW.plus(Millis(250))));
+    assert_eq!(spread(&mut chooser, 3), [0, 3]);
+    assert_eq!(chooser.pick(NOW, &ask(None), &[second]), Some(first));
+}
+
 // Guards against affinity that overloads the holder of a popular prefix.
 #[test]
 fn affinity_bounded() {
