--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -8,6 +8,7 @@
 pub mod queue;
 pub mod rpc;
 pub mod serve;
+pub mod transfer;
 pub mod weights;
 
 use http::Request;
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -4,6 +4,8 @@
 pub mod overhead;
 pub mod path;
 pub mod requests;
+pub mod rollout;
+pub mod tables;
 
 use std::process::ExitCode;
 
@@ -24,6 +26,8 @@
     Overhead(overhead::Args),
     Path(path::Args),
     Requests(requests::Args),
+    Tables(tables::Args),
+    Rollout(rollout::Args),
 }
 
 /// Runs the experiment that the command line names.
@@ -33,5 +37,7 @@
         Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
         Experiment::Requests(args) => requests::run(args),
+        Experiment::Tables(args) => tables::run(args),
+        Experiment::Rollout(args) => rollout::run(args),
     }
 }
