agent: Drain when the live list says that the VM leaves

The drain took only the table and the own stop as reasons. The agent now reads the live list that the spread of tables brings, on each tick.

--- a/src/agent/guard.rs
+++ b/src/agent/guard.rs
@@ -298,10 +298,17 @@
 /// True when the view is stale.
 fn tick(agent: &Agent) -> bool {
     let now = agent.node.clock.now();
+    let live = agent.node.tables.live();
+    let own = agent.node.settings.rpc;
+    let listed = live.vms.values().any(|vm| vm.rpc == own && vm.leaving);
     let mut core = agent.guard.lock();
     core.gate.observe(now);
     core.ledger.tick(now);
     core.local.tick(now);
+    let mut out = Vec::new();
+    core.drain
+        .on_event(now, drain::Event::List(listed), &mut out);
+    carry_out(agent, &out);
     sync(agent, &mut core);
     core.gate.is_stale()
 }
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -308,6 +308,28 @@
     assert_eq!(book(second, &new).0, 200);
 }
 
+// Guards against an agent that serves on when the live list says that it leaves.
+#[test]
+fn drain_by_list() {
+    let system = start("drain-list");
+    let vm = &system.agents[0];
+    let list = |leaving| {
+        format!(
+            "vms:\n  {}: {{rpc: \"{}\", zone: z1, leaving: {leaving}}}\n",
+            vm.name, vm.rpc
+        )
+    };
+    system.put("live", &list(true));
+    until("the agent drains", || {
+        dump(vm.admin)["guard"]["leaving"] == "list"
+    });
+    assert_eq!(complete(system.entries[0].http, "other", 2).0, 200);
+    system.put("live", &list(false));
+    until("the agent serves", || {
+        dump(vm.admin)["guard"]["leaving"].is_null()
+    });
+}
+
 // Guards against a stop of an agent that interrupts a running stream, takes new
 // work, or fails.
 #[test]
