table: Ask another peer for a lost delta after 750 ms

Cause: a fetch without an answer was given up after 3 s, whatever its size.

Change: deltas time out after 750 ms, whole sets after 3 s as before.

--- a/src/table/sync/fetch.rs
+++ b/src/table/sync/fetch.rs
@@ -19,12 +19,19 @@
 /// Peers remembered that hold something greater.
 const MAX_OFFERS: usize = 4;
 
+/// Time after which a delta is asked of another peer.
+///
+/// Deltas are small. At 3 s, 2% of lost messages kept a change from the last
+/// of 400 processes for 9.7 s. A delta that comes later is still taken.
+const DELTA_TIMEOUT: Millis = Millis(750);
+
 /// A fetch without an answer yet.
 #[derive(Clone, Copy, Debug)]
 struct Open {
     call: u64,
     to: SocketAddr,
     sent: Millis,
+    limit: Millis,
 }
 
 /// Peers that hold something greater, and the fetch in progress.
@@ -103,10 +110,16 @@
                 Kind::Tables => self.hold.stamp(),
                 Kind::Live => self.live.stamp().clone(),
             };
+            let limit = if base.digest.is_empty() {
+                FETCH_TIMEOUT
+            } else {
+                DELTA_TIMEOUT
+            };
             fetch.open = Some(Open {
                 call,
                 to,
                 sent: now,
+                limit,
             });
             self.counters.fetches += 1;
             self.progress.sent(now, to);
@@ -125,7 +138,7 @@
         let Some(open) = self.fetches[kind as usize].open else {
             return;
         };
-        if now.since(open.sent) > FETCH_TIMEOUT {
+        if now.since(open.sent) > open.limit {
             self.fetch_failed(now, kind, open.to, out);
         }
     }
