agent: Fill the agent from peers through the planner

Cause: the thin agent drew every chunk from the origin.

Change: weights are a transfer over the upstreams of the pool's table; chunks are served by the source side, and a pull ends when the tables name another version. Turns and the load state machine are not wired yet.

Conclusion: agents of one pool now share chunks.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -105,7 +105,7 @@
             runs: Runs::default(),
             secret: Secret::new(&node.settings.secret),
             engine: Arc::new(Engine::new(settings.upstream)),
-            weights: Weights::new(settings.staging_mb << 20),
+            weights: Weights::new(&settings, node.channels.clone(), incarnation),
             loaded: Loaded::default(),
             gate: Gate::new(settings.max_running + settings.max_queued),
             queue: Queue::new(&settings),
@@ -136,6 +136,7 @@
         let (closer, closed) = channel::bounded::<()>(1);
         let watch = rt::spawn(platform::watch(self.node.clone()));
         let keep = rt::spawn(load::keep(self.clone()));
+        let fetch = rt::spawn(self.weights.clone().run());
         let tick = rt::spawn(guard::keep(self.clone()));
         let queue = rt::spawn(self.queue.clone().run());
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed.clone()));
@@ -148,7 +149,7 @@
         };
         // A peer that has stopped reading must not hold up the exit.
         rpc_task.or(late).await;
-        drop((admin_task, keep, queue, watch, tick));
+        drop((admin_task, keep, fetch, queue, watch, tick));
         Ok(())
     }
 
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -11,14 +11,10 @@
 use crate::agent::Agent;
 use crate::agent::booking;
 use crate::agent::serve;
-use crate::net::rpc::to_status;
+use crate::agent::transfer::PartStream;
 use crate::net::rt;
-use crate::prelude::*;
 use crate::proto;
 
-/// Bytes of a chunk in one message.
-const PART_LEN: usize = 256 << 10;
-
 /// Frames that wait for a slow reader before the engine's stream is held back.
 const FRAME_BUFFER: usize = 32;
 
@@ -35,8 +31,7 @@
     }
 }
 
-type FrameStream = Pin<Box<dyn Stream<Item = std::result::Result<proto::Frame, Status>> + Send>>;
-type PartStream = Pin<Box<dyn Stream<Item = std::result::Result<proto::ChunkPart, Status>> + Send>>;
+type FrameStream = Pin<Box<dyn Stream<Item = Result<proto::Frame, Status>> + Send>>;
 
 #[tonic::async_trait]
 impl proto::agent_server::Agent for AgentService {
@@ -46,7 +41,7 @@
     async fn serve(
         &self,
         request: Request<proto::ServeRequest>,
-    ) -> std::result::Result<Response<FrameStream>, Status> {
+    ) -> Result<Response<FrameStream>, Status> {
         let (sender, receiver) = channel::bounded(FRAME_BUFFER);
         let agent = self.agent.clone();
         rt::spawn(serve::run(agent, request.into_inner(), sender)).detach();
@@ -56,7 +51,7 @@
     async fn resolve(
         &self,
         request: Request<proto::ResolveRequest>,
-    ) -> std::result::Result<Response<proto::ResolveReply>, Status> {
+    ) -> Result<Response<proto::ResolveReply>, Status> {
         let ticket = request.into_inner().ticket;
         Ok(Response::new(booking::resolve(&self.agent, &ticket)))
     }
@@ -64,18 +59,21 @@
     async fn cancel(
         &self,
         _request: Request<proto::CancelRequest>,
-    ) -> std::result::Result<Response<proto::CancelReply>, Status> {
+    ) -> Result<Response<proto::CancelReply>, Status> {
         Ok(Response::new(proto::CancelReply {}))
     }
 
     async fn state(
         &self,
         _request: Request<proto::StateRequest>,
-    ) -> std::result::Result<Response<proto::StateReply>, Status> {
+    ) -> Result<Response<proto::StateReply>, Status> {
         let agent = &self.agent;
         let duty = agent.duty();
         let digest = agent.loaded.digest();
+        let (held, total) = agent.weights.counts();
         Ok(Response::new(proto::StateReply {
+            chunks_held: held as u32,
+            chunks_total: total as u32,
             name: agent.node.settings.name.clone(),
             zone: agent.node.settings.zone.clone(),
             pool: duty.map(|d| d.pool).unwrap_or_default(),
@@ -92,21 +90,8 @@
     async fn chunk(
         &self,
         request: Request<proto::ChunkRequest>,
-    ) -> std::result::Result<Response<PartStream>, Status> {
-        let digest = request.into_inner().digest;
-        let Some(blob) = self.agent.weights.get(&digest) else {
-            return Err(to_status(&Error::new(Code::ChunkMissing, digest)));
-        };
-        let length = blob.len() as u64;
-        let parts = (0..blob.len()).step_by(PART_LEN).map(move |start| {
-            let end = (start + PART_LEN).min(blob.len());
-            Ok(proto::ChunkPart {
-                offset: start as u64,
-                length,
-                data: blob[start..end].to_vec(),
-                digest: digest.clone(),
-            })
-        });
-        Ok(Response::new(Box::pin(smol::stream::iter(parts))))
+    ) -> Result<Response<PartStream>, Status> {
+        let parts = self.agent.weights.chunk(request.into_inner()).await?;
+        Ok(Response::new(parts))
     }
 }
--- a/src/agent/weights.rs
+++ b/src/agent/weights.rs
@@ -1,105 +1,94 @@
-//! Chunks of weights: pulled, verified, held, served to peers and to the engine.
+//! Weights of this agent: filled by the transfer, served to peers and to the engine.
 
-use std::sync::Mutex;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
-use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use smol::future::FutureExt;
+use tonic::Status;
 
 use crate::agent::Agent;
+use crate::agent::transfer::PartStream;
+use crate::agent::transfer::Settings;
+use crate::agent::transfer::Transfer;
+use crate::config::AgentSettings;
 use crate::net::body;
 use crate::net::body::BoxBody;
-use crate::net::client::Client;
+use crate::net::rpc::Channels;
 use crate::prelude::*;
+use crate::proto;
+use crate::rollout::Digest;
+use crate::rollout::plan::Member;
 use crate::standin::origin::blob_digest;
-use crate::util;
 
-/// Largest manifest, in bytes.
-const MAX_MANIFEST: usize = 1 << 20;
+/// Interval at which a pull looks for a change of the tables that it missed.
+const RECHECK: Duration = Duration::from_secs(1);
 
-/// A version's list of chunks.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Manifest {
-    /// Chunks in order.
-    pub layers: Vec<Layer>,
-}
-
-/// One chunk of a version.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Layer {
-    /// Its SHA-256.
-    pub digest: String,
-    /// Its length, in bytes.
-    pub size: usize,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    blobs: IndexMap<String, Bytes>,
-    bytes: usize,
-}
-
-/// Verified blobs by digest; clones share them.
-///
-/// # Invariants
-///
-/// Each blob hashes to its key.
+/// Verified chunks and their transfer; clones share them.
 #[derive(Clone, Debug)]
 pub struct Weights {
-    state: Arc<Mutex<State>>,
+    transfer: Transfer,
     limit: usize,
 }
 
 impl Weights {
-    /// An empty store of at most `limit` bytes.
-    pub fn new(limit: usize) -> Weights {
+    /// Nothing held yet and nothing wanted.
+    pub fn new(settings: &AgentSettings, channels: Channels, seed: u64) -> Weights {
+        let node = &settings.node;
+        let me = Member {
+            name: node.name.clone(),
+            zone: node.zone.clone(),
+            region: node.region.clone(),
+            rpc: node.rpc,
+        };
+        let limit = settings.staging_mb << 20;
+        let bounds = Settings::new(limit as u64, settings.origin);
         Weights {
-            state: Arc::new(Mutex::new(State::default())),
+            transfer: Transfer::new(me, bounds, channels, seed),
             limit,
         }
     }
 
-    /// The blob with this digest.
-    pub fn get(&self, digest: &str) -> Option<Bytes> {
-        self.lock().blobs.get(digest).cloned()
-    }
-
-    /// Verifies and stores a blob.
-    pub fn insert(&self, digest: &str, blob: Bytes) -> Result<()> {
-        if util::digest(&blob) != digest {
-            return Err(Error::new(Code::ChunkCorrupt, digest));
-        }
-        let mut state = self.lock();
-        if state.bytes + blob.len() > self.limit {
-            let detail = format!("{} bytes held", state.bytes);
-            return Err(Error::new(Code::StagingFull, detail));
-        }
-        state.bytes += blob.len();
-        state.blobs.insert(digest.to_string(), blob);
-        Ok(())
+    /// Checks time-outs of transfers until the task is dropped.
+    pub async fn run(self) {
+        self.transfer.run().await;
     }
 
-    /// Drops every blob whose digest is not in `keep`.
-    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
-        let mut state = self.lock();
-        state.blobs.retain(|digest, _| keep(digest));
-        state.bytes = state.blobs.values().map(Bytes::len).sum();
+    /// Answers a pull of another agent.
+    pub async fn chunk(
+        &self,
+        request: proto::ChunkRequest,
+    ) -> std::result::Result<PartStream, Status> {
+        self.transfer.chunk(request).await
     }
 
     /// Counts, for operators.
     pub fn dump(&self) -> Value {
-        let state = self.lock();
-        json!({ "blobs": state.blobs.len(), "bytes": state.bytes, "limit": self.limit })
+        let (held, all) = self.transfer.counts();
+        json!({
+            "bytes": self.transfer.staged(),
+            "limit": self.limit,
+            "chunks_held": held,
+            "chunks_total": all,
+            "ready": self.transfer.ready().map(|d| d.to_string()),
+            "refused": self.transfer.refused().map(|e| e.to_string()),
+            "stats": self.transfer.stats(),
+        })
+    }
+
+    /// Chunks held and chunks in all of the wanted version.
+    pub fn counts(&self) -> (usize, usize) {
+        self.transfer.counts()
     }
 
     /// Serves a blob to the engine over the OCI distribution API.
     pub fn answer(&self, request: &Request<Incoming>) -> Response<BoxBody> {
-        let blob = blob_digest(request.uri().path()).and_then(|d| self.get(d));
-        match blob {
+        let digest = blob_digest(request.uri().path()).and_then(|d| d.parse().ok());
+        match digest.and_then(|d| self.transfer.get(d)) {
             Some(blob) => Response::new(body::full(blob)),
             None => {
                 let mut response = Response::new(body::full("no such blob\n"));
@@ -108,51 +97,51 @@
             }
         }
     }
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
-    }
+/// The other upstreams of this agent's pool.
+fn others(agent: &Agent) -> Vec<Member> {
+    let Some(set) = agent.node.view.get() else {
+        return Vec::new();
+    };
+    let own = &agent.node.settings.name;
+    let Some((_, pool, _)) = set.upstream(own) else {
+        return Vec::new();
+    };
+    let others = pool.upstreams.iter().filter(|(name, _)| *name != own);
+    others
+        .map(|(name, upstream)| Member {
+            name: name.clone(),
+            zone: upstream.zone.clone(),
+            region: upstream.region.clone(),
+            rpc: upstream.rpc,
+        })
+        .collect()
 }
 
-/// Pulls a version whole and verified into the store.
+/// Fetches a version until it is held whole and verified.
+///
+/// Ends with an error as soon as the tables name another version.
 pub async fn pull(agent: &Agent, model: &str, digest: &str) -> Result<()> {
-    let origin = Client::new(agent.settings.origin);
-    let manifest = blob(agent, &origin, model, "manifests", digest, MAX_MANIFEST).await?;
-    let manifest: Manifest = serde_json::from_slice(&manifest)
-        .map_err(|e| Error::new(Code::ManifestCorrupt, e.to_string()))?;
-    let wanted = |held: &str| held == digest || manifest.layers.iter().any(|l| l.digest == held);
-    agent.weights.retain(wanted);
-    for layer in &manifest.layers {
-        let chunk = blob(agent, &origin, model, "blobs", &layer.digest, layer.size).await?;
-        if chunk.len() != layer.size {
-            return Err(Error::new(Code::ChunkLength, layer.digest.clone()));
+    let version: Digest = digest.parse()?;
+    let transfer = &agent.weights.transfer;
+    loop {
+        let (changed, tables) = (transfer.listen(), agent.node.view.listen());
+        if agent.duty().is_none_or(|d| d.digest != digest) {
+            let detail = "the tables name another version";
+            return Err(Error::new(Code::Cancelled, detail));
         }
+        transfer.roster(others(agent));
+        transfer.target(model, Some(version));
+        if transfer.ready() == Some(version) {
+            return Ok(());
+        }
+        if let Some(error) = transfer.refused() {
+            return Err(error);
+        }
+        let recheck = async {
+            smol::Timer::after(RECHECK).await;
+        };
+        changed.or(tables).or(recheck).await;
     }
-    Ok(())
-}
-
-async fn blob(
-    agent: &Agent,
-    origin: &Client,
-    model: &str,
-    kind: &str,
-    digest: &str,
-    limit: usize,
-) -> Result<Bytes> {
-    if let Some(blob) = agent.weights.get(digest) {
-        return Ok(blob);
-    }
-    let request = Request::get(format!("/v2/{model}/{kind}/{digest}"))
-        .header("host", origin.addr().to_string())
-        .body(body::full(""))
-        .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-    let (response, kept) = Client::split(origin.send(request).await?);
-    if !response.status().is_success() {
-        let detail = format!("{digest}: status {}", response.status());
-        return Err(Error::new(Code::ChunkMissing, detail));
-    }
-    let blob = body::read(response.into_body(), limit).await?;
-    origin.give_back(kept);
-    agent.weights.insert(digest, blob.clone())?;
-    Ok(blob)
 }
