route: Drop the second mechanism for closed upstreams

Cause: two fixes for the same fault met: a retry put off for a closed upstream, and an upstream that is avoided only while another one is open. Change: keep the second, which needs no waiting; remove the first. Conclusion: one mechanism.

--- a/src/route/flight.rs
+++ b/src/route/flight.rs
@@ -51,8 +51,6 @@
     finished: bool,
     hedge: Option<Millis>,
     again: Option<Millis>,
-    /// True once a retry was put off for a closed upstream.
-    waited: bool,
     backoff: Backoff,
     /// The error reported if no further attempt succeeds.
     error: Option<Error>,
@@ -72,7 +70,6 @@
             finished: false,
             hedge: None,
             again: None,
-            waited: false,
             backoff: Backoff::default(),
             error: None,
             ran: false,
@@ -208,7 +205,7 @@
         }
         if self.again.is_some_and(|at| at <= now) {
             self.again = None;
-            if !self.send(now, router, out) && !self.wait_open(now, router) {
+            if !self.send(now, router, out) {
                 router.retries.refund();
                 self.give_up(now, router, out);
             }
@@ -373,23 +370,6 @@
     }
 
     /// Keeps the error that says most: one after a run goes before a refusal.
-    /// Puts the retry off, once, until an upstream that closed for a moment takes work.
-    ///
-    /// A restarted upstream is still closed here for up to [`CLOSED`]; when it is
-    /// the only one left, giving up would lose a request that it could run.
-    fn wait_open(&mut self, now: Millis, router: &Router) -> bool {
-        let Some(at) = router.chooser.reopens(now) else {
-            return false;
-        };
-        let is_soon = at > now && at.since(now) <= CLOSED && at < self.plan.deadline;
-        if self.waited || !is_soon {
-            return false;
-        }
-        self.waited = true;
-        self.again = Some(at);
-        true
-    }
-
     fn note(&mut self, error: Error) {
         let held_run = self.error.as_ref().is_some_and(|e| e.run != Run::NotRun);
         if !held_run {
