--- a/src/bench/rollout/mod.rs
+++ b/src/bench/rollout/mod.rs
@@ -91,7 +91,7 @@
             "chain" => ("chain", tree(Shape::Tree(1), 1)),
             "tree2" => ("tree2", tree(Shape::Tree(2), 8)),
             "tree4" => ("tree4", tree(Shape::Tree(4), 8)),
-            "direct" => ("direct", tree(Shape::Direct, 4)),
+            "direct" => ("direct", direct(&base)),
             _ => return None,
         };
         let is_direct = plan.shape == Shape::Direct;
@@ -103,11 +103,25 @@
         })
     }
 
+    /// Bytes of the version.
     fn bytes(&self) -> u64 {
         (self.chunks * self.chunk_len) as u64
     }
 }
 
+/// Settings with which every VM draws from the origin.
+///
+/// The origin's link is shared by all VMs, so a pull may get nothing for many
+/// seconds; giving it up would only waste what it has sent.
+fn direct(base: &plan::Settings) -> plan::Settings {
+    plan::Settings {
+        shape: Shape::Direct,
+        stripes: 1,
+        stall: Millis(RUN_LIMIT.as_millis() as u64),
+        ..base.clone()
+    }
+}
+
 /// What is measured.
 #[derive(Clone, Debug)]
 pub struct Scenario {
