agent: Reload in turns and hold back versions that fail to load

The turn rules existed but the daemon did not use them. Change: an agent that serves asks the others of its pool for their state and reloads only in its turn (max_out, min_serving, 3 s after the change); two failed loads in the pool hold the version back; a long pull no longer hides the engine's state; the demo fails when a completion is refused. Polling all agents of a pool does not scale to 2,000 upstreams; docs/proofs.md says so.

--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -7,8 +7,10 @@
 
 use crate::agent::Agent;
 use crate::agent::Duty;
+use crate::agent::turns;
 use crate::agent::weights;
 use crate::prelude::*;
+use crate::rollout::turn;
 use crate::table::doc::Kind;
 
 /// Interval at which the engine's state is reread.
@@ -28,6 +30,10 @@
     digest: Option<String>,
     /// Counts the events after which an earlier report of the engine is void.
     reading: u64,
+    /// Version that the tables name, and since when.
+    wanted: Option<(String, Millis)>,
+    /// Failed loads of that version.
+    failures: u32,
 }
 
 impl Loaded {
@@ -56,6 +62,32 @@
         }
     }
 
+    /// Notes the version that the tables name; the result is since when.
+    pub fn want(&self, now: Millis, digest: &str) -> Millis {
+        let mut state = self.lock();
+        if let Some((held, since)) = &state.wanted
+            && held == digest
+        {
+            return *since;
+        }
+        state.wanted = Some((digest.to_string(), now));
+        state.failures = 0;
+        now
+    }
+
+    /// Failed loads of `digest` here, while the tables name it.
+    pub fn failures(&self, digest: &str) -> u32 {
+        let state = self.lock();
+        match &state.wanted {
+            Some((held, _)) if held == digest => state.failures,
+            _ => 0,
+        }
+    }
+
+    fn failed(&self) {
+        self.lock().failures += 1;
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -87,6 +119,7 @@
         agent.loaded.confirm(reading, String::new());
         return Ok(());
     }
+    let since = agent.loaded.want(agent.node.clock.now(), &duty.digest);
     let report = match agent.engine.report().await {
         Ok(report) => report,
         Err(error) => {
@@ -98,14 +131,52 @@
         agent.loaded.confirm(reading, report.digest);
         return Ok(());
     }
-    if !report.digest.is_empty() && !report.loading && agent.loaded.digest().is_none() {
-        // A restarted agent finds the version that its engine still serves.
+    if report.loading {
+        return Ok(());
+    }
+    if agent.loaded.digest().is_some_and(|d| d != report.digest) {
+        // The engine has lost or replaced its version without an order from here.
+        agent.loaded.doubt();
+        return Ok(());
+    }
+    let is_empty = report.digest.is_empty();
+    if !is_empty && agent.loaded.digest().is_none() {
+        // The version before is served until this agent's turn has come.
         agent.loaded.confirm(reading, report.digest);
     }
-    weights::pull(agent, &duty.model, &duty.digest).await?;
+    if !pulled(agent, &duty).await? {
+        return Ok(());
+    }
+    let pool = turns::poll(agent, &duty).await;
+    if turns::is_held(agent, &duty, &pool) {
+        let failures = agent.loaded.failures(&duty.digest);
+        slog::warn!(agent.node.log, "load: version held back"; "failures" => failures);
+        return Ok(());
+    }
+    let is_settled = agent.node.clock.now().since(since) >= turn::FRESH;
+    let is_free = is_empty || duty.drain || (is_settled && turns::is_granted(agent, &duty, &pool));
+    if !is_free {
+        return Ok(());
+    }
     order(agent, &duty).await
 }
 
+/// Goes on with the pull until the next reading of the engine; true when the version is whole.
+///
+/// The transfer runs on by itself; a long pull must not hide an engine that
+/// has failed meanwhile.
+async fn pulled(agent: &Agent, duty: &Duty) -> Result<bool> {
+    let pull = async {
+        weights::pull(agent, &duty.model, &duty.digest).await?;
+        Ok(true)
+    };
+    let pause = async {
+        smol::Timer::after(REREAD).await;
+        Ok(false)
+    };
+    pull.or(pause).await
+}
+
 /// Empties the engine and orders the load.
 async fn order(agent: &Agent, duty: &Duty) -> Result<()> {
     agent.loaded.doubt();
@@ -120,8 +191,12 @@
     }
     slog::info!(agent.node.log, "load: ordered"; "digest" => &duty.digest);
     let source = agent.node.settings.admin;
-    agent
+    let ordered = agent
         .engine
         .load(&duty.model, &duty.digest, duty.fence, source)
-        .await
+        .await;
+    if matches!(&ordered, Err(error) if error.code == Code::LoadFailed) {
+        agent.loaded.failed();
+    }
+    ordered
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -9,6 +9,7 @@
 pub mod rpc;
 pub mod serve;
 pub mod transfer;
+pub mod turns;
 pub mod weights;
 
 use http::Request;
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -76,6 +76,9 @@
             chunks_total: total as u32,
             name: agent.node.settings.name.clone(),
             zone: agent.node.settings.zone.clone(),
+            load_failures: duty
+                .as_ref()
+                .map_or(0, |d| agent.loaded.failures(&d.digest)),
             pool: duty.map(|d| d.pool).unwrap_or_default(),
             incarnation: agent.incarnation,
             revision: agent.node.view.stamp().revision,
@@ -83,7 +86,6 @@
             digest: digest.unwrap_or_default(),
             leaving: agent.guard.is_leaving(),
             load: Some(agent.queue.load()),
-            ..proto::StateReply::default()
         }))
     }
 
--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -74,6 +74,11 @@
         caller.await;
     }
     sampler.await;
+    // Every stop and reload was planned, so no caller may be refused for it.
+    let refused = outcome.refused.load(Ordering::Relaxed);
+    checks.check(Promise::P6, refused == 0, || {
+        format!("{refused} completions refused")
+    });
     check_runs(&fleet, &checks, &barred);
     show(&format!(
         "{} completions answered, {} refused; {} bookings ran, {} answers unknown, {} barred",
