net: Share a failed connection attempt among its waiters

Cause: callers of an address that does not answer queued for the connection lock and each then made its own attempt of up to 2 s, so the last of n waited 2n s (found by reading). Change: callers that waited for an attempt which failed share its error. Conclusion: the wait is bounded by one time-out and one attempt.

--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -9,6 +9,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::Request;
 use http::Response;
@@ -46,7 +47,14 @@
 #[derive(Clone, Debug)]
 pub struct Channel {
     addr: SocketAddr,
-    sender: Arc<smol::lock::Mutex<Option<Sender>>>,
+    link: Arc<smol::lock::Mutex<Link>>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    sender: Option<Sender>,
+    /// When the last attempt to connect failed, and why.
+    failed: Option<(Instant, Error)>,
 }
 
 impl Channel {
@@ -54,21 +62,37 @@
     pub fn new(addr: SocketAddr) -> Channel {
         Channel {
             addr,
-            sender: Arc::new(smol::lock::Mutex::new(None)),
+            link: Arc::default(),
         }
     }
 
     /// The connection in use, or a new one.
+    ///
+    /// Callers that waited for an attempt which failed share its error: with an
+    /// attempt each, the last of many would wait for all time-outs before its own.
     async fn ready(&self) -> Result<Sender> {
-        let mut held = self.sender.lock().await;
-        if let Some(sender) = held.as_ref()
+        let begin = Instant::now();
+        let mut link = self.link.lock().await;
+        if let Some(sender) = &link.sender
             && !sender.is_closed()
         {
             return Ok(sender.clone());
         }
-        let sender = connect(self.addr).await?;
-        *held = Some(sender.clone());
-        Ok(sender)
+        if let Some((at, error)) = &link.failed
+            && *at >= begin
+        {
+            return Err(error.clone());
+        }
+        match connect(self.addr).await {
+            Ok(sender) => {
+                link.sender = Some(sender.clone());
+                Ok(sender)
+            }
+            Err(error) => {
+                link.failed = Some((Instant::now(), error.clone()));
+                Err(error)
+            }
+        }
     }
 }
 
