bench: Choose ports of a fleet outside the range for outgoing connections

Cause: the fleet bound port 0, released it and bound it again later; an outgoing connection could take it in between, which test runs under load showed as "never happened" and refused connections. Change: ports from 12000 to 31999, each handed out once in a process.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -1,5 +1,6 @@
 //! A small fleet in one process: platform, origin, engines, entries, agents.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -155,13 +156,29 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A free address on loopback for a server that is started right after.
+/// Ports of servers whose address must be known before they start.
+///
+/// They lie below the system's usual range for outgoing connections, which
+/// could otherwise take a port between its choice and the start of its server.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Ports tried before giving up.
+const MAX_TRIES: usize = 1_000;
+
+/// A free address on loopback for a server that is started right after,
+/// handed out once in this process.
 pub fn free_addr() -> Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind(any())
-        .map_err(|e| Error::new(Code::ListenFailed, e.to_string()))?;
-    listener
-        .local_addr()
-        .map_err(|e| Error::new(Code::ListenFailed, e.to_string()))
+    static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    for _ in 0..MAX_TRIES {
+        let port = fastrand::u16(PORTS);
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        let mut taken = TAKEN.lock().unwrap_or_else(|e| e.into_inner());
+        if !taken.contains(&port) && std::net::TcpListener::bind(addr).is_ok() {
+            taken.insert(port);
+            return Ok(addr);
+        }
+    }
+    Err(Error::new(Code::ListenFailed, "no free port"))
 }
 
 impl Fleet {
@@ -470,6 +487,7 @@
         http: free_addr()?,
         max_body: 4 << 20,
         head_ms: 10_000,
+        entries: plan.entries,
     };
     let (http, admin) = (settings.http, settings.node.admin);
     let entry = Entry::with_policy(settings, log::discard(), plan.policy);
