entry: Share limits over entries by exchanged counts

Cause: the limiter took counts of other entries, but nothing fed it, so each entry enforced the whole limit and n entries together allowed n times as much. Change: notices carry requests a minute of each organisation; the setting `entries` gives the share that is safe when nothing is heard.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -25,6 +25,9 @@
 /// Longest wait for a request head.
 const MAX_HEAD_MS: u64 = 600_000;
 
+/// Most entries that may share the limits.
+const MAX_ENTRIES: u64 = 10_000;
+
 /// Largest staging memory, 1 TiB.
 const MAX_STAGING_MB: u64 = 1 << 20;
 
@@ -56,6 +59,7 @@
     required("http", Kind::Address),
     optional("max_body", Kind::Whole(1, MAX_BODY)),
     optional("head_ms", Kind::Whole(1, MAX_HEAD_MS)),
+    optional("entries", Kind::Whole(1, MAX_ENTRIES)),
 ]);
 
 /// Settings of the agent.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -54,6 +54,11 @@
     /// Time in which a caller must send head and body, in milliseconds.
     #[serde(default = "default_head")]
     pub head_ms: u64,
+    /// Entries that share the limits of the organisations.
+    ///
+    /// An entry that hears nothing of the others allows a share of one in this many.
+    #[serde(default = "default_entries")]
+    pub entries: usize,
 }
 }
 
@@ -88,6 +93,10 @@
     4 << 20
 }
 
+fn default_entries() -> usize {
+    1
+}
+
 fn default_head() -> u64 {
     10_000
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -56,7 +56,7 @@
         Entry {
             owners: Owners::default(),
             secret: Secret::new(&settings.node.secret),
-            pools: Pools::new(node.clone(), policy),
+            pools: Pools::new(node.clone(), policy, settings.entries),
             node,
             settings: Arc::new(settings),
         }
--- a/src/entry/pools.rs
+++ b/src/entry/pools.rs
@@ -10,8 +10,10 @@
 use crate::arena::Key;
 use crate::limit::Gate;
 use crate::limit::Limiter;
+use crate::limit::org::Count;
 use crate::node::Node;
 use crate::prelude::*;
+use crate::proto;
 use crate::route::Ask;
 use crate::route::Member;
 use crate::route::Router;
@@ -28,6 +30,8 @@
 /// Interval of the systems that eject, learn and limit.
 const TICK: Duration = Duration::from_millis(50);
 
+const SECONDS_A_MINUTE: f64 = 60.0;
+
 /// State of one pool at this entry.
 #[derive(Debug)]
 pub struct PoolState {
@@ -68,17 +72,44 @@
 
 impl Pools {
     /// No pools yet; they follow from the tables in force.
-    pub fn new(node: Node, policy: Policy) -> Pools {
+    ///
+    /// `entries` is the number of entries that share the limits.
+    pub fn new(node: Node, policy: Policy, entries: usize) -> Pools {
         let state = State {
             stamp: Stamp::default(),
             pools: IndexMap::new(),
-            limiter: Limiter::new(node.clock.now(), 1),
+            limiter: Limiter::new(node.clock.now(), entries),
         };
-        Pools {
+        let pools = Pools {
             node,
             policy,
             state: Arc::new(Mutex::new(state)),
-        }
+        };
+        pools.exchange_counts();
+        pools
+    }
+
+    /// Adds the own counts to notices and takes those of other entries.
+    ///
+    /// Notices without counts come from agents, or from entries that had
+    /// nothing to count; neither may widen the own share.
+    fn exchange_counts(&self) {
+        let (own, others) = (self.state.clone(), self.state.clone());
+        let clock = self.node.clock;
+        self.node.tables.on_exchange(
+            move |notice| {
+                let state = own.lock().unwrap_or_else(|e| e.into_inner());
+                notice.counts = state.limiter.counts().iter().map(to_proto).collect();
+            },
+            move |notice| {
+                if notice.counts.is_empty() {
+                    return;
+                }
+                let counts: Vec<Count> = notice.counts.iter().map(from_proto).collect();
+                let mut state = others.lock().unwrap_or_else(|e| e.into_inner());
+                state.limiter.on_counts(clock.now(), &notice.from, &counts);
+            },
+        );
     }
 
     /// Runs `work` on the state of the pool `name`; none when the tables lack it.
@@ -137,6 +168,22 @@
     }
 }
 
+/// Requests a minute travel as whole numbers.
+fn to_proto(count: &Count) -> proto::Count {
+    proto::Count {
+        organisation: count.org.clone(),
+        requests: (count.rate * SECONDS_A_MINUTE).ceil() as u64,
+        cost: 0,
+    }
+}
+
+fn from_proto(count: &proto::Count) -> Count {
+    Count {
+        org: count.organisation.clone(),
+        rate: count.requests as f64 / SECONDS_A_MINUTE,
+    }
+}
+
 impl State {
     fn follow(&mut self, node: &Node, set: &Set, policy: Policy) {
         let now = node.clock.now();
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -222,7 +222,7 @@
     #[prost(message, repeated, tag = "8")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
 }
-/// Requests and tokens of one organisation admitted at the sender in the last window.
+/// Requests a minute of one organisation that the sender admits; `cost` is not used yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Count {
     #[prost(string, tag = "1")]
