agent: Ask few agents while waiting for a turn

Cause: an agent that waited for its turn asked every other one of its pool twice a second; at 2,000 upstreams that is 4,000 calls a second for each of them. Change: it asks in rank order and stops at max_out agents that are behind, and does not ask again those that are done; the whole pool is asked once its turn is near; an empty engine asks eight agents for failed loads. Derived: about max_out calls a round while waiting. Conclusion: the cost of waiting no longer grows with the pool.

--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use smol::future::FutureExt;
 
 use crate::agent::Agent;
@@ -34,6 +35,8 @@
     wanted: Option<(String, Millis)>,
     /// Failed loads of that version.
     failures: u32,
+    /// Agents seen on the pool's version under this table revision.
+    done: (u64, IndexSet<String>),
 }
 
 impl Loaded {
@@ -84,6 +87,21 @@
         }
     }
 
+    /// True when `name` was seen on the pool's version under `revision`.
+    pub fn is_done(&self, revision: u64, name: &str) -> bool {
+        let state = self.lock();
+        state.done.0 == revision && state.done.1.contains(name)
+    }
+
+    /// Notes that `name` is on the pool's version under `revision`.
+    pub fn note_done(&self, revision: u64, name: &str) {
+        let mut state = self.lock();
+        if state.done.0 != revision {
+            state.done = (revision, IndexSet::new());
+        }
+        state.done.1.insert(name.to_string());
+    }
+
     fn failed(&self) {
         self.lock().failures += 1;
     }
@@ -147,18 +165,24 @@
     if !pulled(agent, &duty).await? {
         return Ok(());
     }
-    let pool = turns::poll(agent, &duty).await;
+    let is_settled = agent.node.clock.now().since(since) >= turn::FRESH;
+    let is_out = is_empty || duty.drain;
+    let pool = match is_out {
+        true => turns::sample(agent, &duty).await,
+        false if is_settled && turns::is_near(agent, &duty).await => {
+            turns::poll(agent, &duty).await
+        }
+        false => return Ok(()),
+    };
     if turns::is_held(agent, &duty, &pool) {
         let failures = agent.loaded.failures(&duty.digest);
         slog::warn!(agent.node.log, "load: version held back"; "failures" => failures);
         return Ok(());
     }
-    let is_settled = agent.node.clock.now().since(since) >= turn::FRESH;
-    let is_free = is_empty || duty.drain || (is_settled && turns::is_granted(agent, &duty, &pool));
-    if !is_free {
-        return Ok(());
+    if is_out || turns::is_granted(agent, &duty, &pool) {
+        return order(agent, &duty).await;
     }
-    order(agent, &duty).await
+    Ok(())
 }
 
 /// Goes on with the pull until the next reading of the engine; true when the version is whole.
--- a/src/agent/turns.rs
+++ b/src/agent/turns.rs
@@ -1,5 +1,6 @@
 //! The agent's turn to load: its pool as the other agents report it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::agent::Agent;
@@ -10,52 +11,143 @@
 use crate::prelude::*;
 use crate::proto;
 use crate::rollout::Digest;
+use crate::rollout::rank;
 use crate::rollout::turn;
 use crate::rollout::turn::Pool;
 use crate::rollout::turn::Turn;
 use crate::rollout::turn::View;
+use crate::table::doc;
 
 /// Time for one agent's report.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The pool in the tables in force, with their revision.
+fn table(agent: &Agent, duty: &Duty) -> Option<(u64, doc::Pool)> {
+    let set = agent.node.view.get()?;
+    let pool = set.pools.pools.get(&duty.pool)?;
+    Some((set.stamp.revision, pool.clone()))
+}
+
+fn seen(revision: u64, pool: &doc::Pool, views: IndexMap<String, Option<View>>) -> Pool {
+    Pool {
+        views,
+        max_out: pool.max_out,
+        min_serving: pool.min_serving,
+        revision,
+    }
+}
+
+/// Agents asked at once in [`is_near`].
+const BATCH: usize = 8;
+
+/// True when fewer than `max_out` of the agents ranked before this one are still
+/// to load the version, so that a whole [`poll`] is worth its cost.
+///
+/// Asks in rank order and stops at the first `max_out` that are behind; agents
+/// that were seen on the version are not asked again. An agent that waits thus
+/// makes about `max_out` calls a round, however large the pool is.
+pub async fn is_near(agent: &Agent, duty: &Duty) -> bool {
+    let Some((revision, pool)) = table(agent, duty) else {
+        return false;
+    };
+    let before = before(agent, duty, &pool);
+    let asked: Vec<&(String, SocketAddr)> = before
+        .iter()
+        .filter(|(name, _)| !agent.loaded.is_done(revision, name))
+        .collect();
+    let mut behind = 0;
+    for batch in asked.chunks(BATCH) {
+        let batch = batch.iter().map(|(name, rpc)| (name.clone(), *rpc));
+        for (name, reply) in ask_all(agent, batch).await {
+            let is_on = |r: &proto::StateReply| r.digest == duty.digest && r.revision == revision;
+            if reply.as_ref().is_some_and(is_on) {
+                agent.loaded.note_done(revision, &name);
+            } else {
+                behind += 1;
+            }
+        }
+        if behind >= pool.max_out {
+            return false;
+        }
+    }
+    true
+}
+
+/// The first agents in rank order, which try a version before the others.
+///
+/// An agent that is out of service needs no turn, only word of failed loads; a
+/// fleet that starts empty must not ask every agent by every other one.
+pub async fn sample(agent: &Agent, duty: &Duty) -> Pool {
+    let Some((revision, pool)) = table(agent, duty) else {
+        return Pool::default();
+    };
+    let first = before(agent, duty, &pool).into_iter().take(BATCH);
+    let views = views(agent, first).await;
+    seen(revision, &pool, views)
+}
+
+/// Upstreams that load before this one, in rank order, without drained ones.
+fn before(agent: &Agent, duty: &Duty, pool: &doc::Pool) -> Vec<(String, SocketAddr)> {
+    let rank = |name: &str| (rank::weight(&duty.digest, name), name.to_string());
+    let own = rank(&agent.node.settings.name);
+    let mut before: Vec<_> = pool
+        .upstreams
+        .iter()
+        .filter(|(_, upstream)| !upstream.drain)
+        .map(|(name, upstream)| (rank(name), upstream.rpc))
+        .filter(|(rank, _)| *rank < own)
+        .collect();
+    before.sort();
+    let named = before.into_iter().map(|((_, name), rpc)| (name, rpc));
+    named.collect()
+}
+
+/// Asks agents for their state at the same time; none where one does not answer as itself.
+async fn ask_all(
+    agent: &Agent,
+    asked: impl Iterator<Item = (String, SocketAddr)>,
+) -> Vec<(String, Option<proto::StateReply>)> {
+    let tasks: Vec<_> = asked
+        .map(|(name, rpc)| {
+            let agent = agent.clone();
+            (name, rt::spawn(async move { ask(&agent, rpc).await }))
+        })
+        .collect();
+    let mut replies = Vec::new();
+    for (name, task) in tasks {
+        let reply = task.await.ok().filter(|reply| reply.name == name);
+        replies.push((name, reply));
+    }
+    replies
+}
+
 /// Asks all other agents of the pool for their state.
 ///
 /// Upstreams that the table drains are left out: the operator has taken them
 /// out of service, and they must not use up the turns of the others.
 pub async fn poll(agent: &Agent, duty: &Duty) -> Pool {
-    let Some(set) = agent.node.view.get() else {
-        return Pool::default();
-    };
-    let Some(pool) = set.pools.pools.get(&duty.pool) else {
+    let Some((revision, pool)) = table(agent, duty) else {
         return Pool::default();
     };
     let own = &agent.node.settings.name;
     let others = pool.upstreams.iter();
     let others = others.filter(|(name, upstream)| *name != own && !upstream.drain);
-    let asked: Vec<_> = others
-        .map(|(name, upstream)| {
-            let agent = agent.clone();
-            let rpc = upstream.rpc;
-            (
-                name.clone(),
-                rt::spawn(async move { ask(&agent, rpc).await }),
-            )
-        })
-        .collect();
-    let mut views = IndexMap::new();
-    for (name, task) in asked {
-        let reply = task.await.ok().filter(|reply| reply.name == name);
-        views.insert(name, reply.map(|reply| view(agent, &reply)));
-    }
-    Pool {
-        views,
-        max_out: pool.max_out,
-        min_serving: pool.min_serving,
-        revision: set.stamp.revision,
-    }
+    let asked = others.map(|(name, upstream)| (name.clone(), upstream.rpc));
+    let views = views(agent, asked).await;
+    seen(revision, &pool, views)
+}
+
+/// Agents' reports; none for those that do not answer.
+async fn views(
+    agent: &Agent,
+    asked: impl Iterator<Item = (String, SocketAddr)>,
+) -> IndexMap<String, Option<View>> {
+    let replies = ask_all(agent, asked).await.into_iter();
+    let views = replies.map(|(name, reply)| (name, reply.map(|r| view(agent, &r))));
+    views.collect()
 }
 
-async fn ask(agent: &Agent, addr: std::net::SocketAddr) -> Result<proto::StateReply> {
+async fn ask(agent: &Agent, addr: SocketAddr) -> Result<proto::StateReply> {
     let mut client = agent.node.channels.agent(addr);
     let reply = async {
         let reply = client.state(proto::StateRequest {}).await;
