bench: Publish a live list in the fleet of one process

Cause: without a live list every process reads the platform itself, so the demo did not exercise the spread of tables between peers. Change: the fleet publishes the key `live` at its start. Conclusion: the demo runs the path that a fleet runs.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -213,6 +213,7 @@
         };
         let seed = fleet.plan.seed;
         fleet.new_version(seed);
+        fleet.publish_live();
         fleet.publish(&[]);
         Ok(fleet)
     }
@@ -225,6 +226,18 @@
         self.published().digest = digest;
     }
 
+    /// Publishes the live list, without which every process reads the platform itself.
+    fn publish_live(&self) {
+        let agents = self.agents.iter().map(|vm| &vm.agent.node.settings);
+        let entries = self.entries.iter().map(|vm| &vm.entry.node.settings);
+        let mut vms = serde_json::Map::new();
+        for node in agents.chain(entries) {
+            let vm = json!({ "rpc": node.rpc, "zone": node.zone, "region": node.region });
+            vms.insert(node.name.clone(), vm);
+        }
+        self.platform.put("live", json!({ "vms": vms }).to_string());
+    }
+
     /// Publishes the tables under the next revision, with `drained` upstreams emptied.
     pub fn publish(&self, drained: &[&str]) {
         let Published { revision, digest } = {
