entry: Ask for newer tables after a pause before using any

Cause: an entry that woke from a pause routed by its old tables until the next exchange; only agents checked for a jump in time. Change: a request that finds the tables stale waits up to 500 ms for peers or the platform, at most once a second; tests/single_loss.rs pauses an entry while its route is removed. Conclusion: a paused entry acts on no old view where anyone answers.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -27,6 +27,12 @@
 /// Header that names the caller's organisation.
 pub const ORGANISATION: &str = "x-organisation";
 
+/// Time for newer tables after a pause of the process.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Least time between two such refreshes.
+const REFRESH_GAP: Millis = Millis(1_000);
+
 /// Answers one request of a caller.
 pub async fn handle(entry: Entry, request: Request<Incoming>) -> Response<BoxBody> {
     let node = entry.node.clone();
@@ -43,6 +49,7 @@
     entry: Entry,
     request: Request<Incoming>,
 ) -> std::result::Result<Response<BoxBody>, Denied> {
+    freshen(&entry).await;
     if request.uri().path() == booking::TICKETS {
         return Ok(ticket(&entry, request).await?);
     }
@@ -65,6 +72,23 @@
     }
 }
 
+/// After a pause of the process, asks for newer tables before any is used.
+///
+/// A cut-off entry goes on with what it has; it asks again at most once in
+/// [`REFRESH_GAP`], so that its callers do not all wait for answers that cannot come.
+async fn freshen(entry: &Entry) {
+    if !entry.node.tables.is_stale() {
+        return;
+    }
+    let mut last = entry.refreshed.lock().await;
+    let now = entry.node.clock.now();
+    if !entry.node.tables.is_stale() || now.since(*last) < REFRESH_GAP {
+        return;
+    }
+    entry.node.tables.refresh(REFRESH_TIMEOUT).await;
+    *last = entry.node.clock.now();
+}
+
 async fn ticket(entry: &Entry, request: Request<Incoming>) -> Result<Response<BoxBody>> {
     if request.method() != http::Method::POST {
         return Err(Error::new(Code::RequestMalformed, "use POST"));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -40,6 +40,8 @@
     pub owners: Owners,
     /// Key with which tickets are signed.
     pub secret: Secret,
+    /// When the tables were last asked for again after a pause.
+    pub refreshed: Arc<smol::lock::Mutex<Millis>>,
     /// Choice, limits and budgets of each pool.
     pub pools: Pools,
 }
@@ -56,6 +58,7 @@
         Entry {
             owners: Owners::default(),
             secret: Secret::new(&settings.node.secret),
+            refreshed: Arc::default(),
             pools: Pools::new(node.clone(), policy, settings.entries),
             node,
             settings: Arc::new(settings),
--- a/tests/single_loss.rs
+++ b/tests/single_loss.rs
@@ -68,3 +68,32 @@
     });
     assert_answered(&system, &[0, 1]);
 }
+
+// Guards against an entry that wakes from a pause and uses a table that was
+// replaced meanwhile: the request must go where the new table says.
+#[test]
+fn paused_entry_wakes() {
+    let mut system = System::start("paused-entry");
+    system.until_serving();
+    let entry = &system.entries[0];
+    entry.process.signal("STOP");
+    // Longer than the step in time that makes views stale.
+    std::thread::sleep(std::time::Duration::from_secs(3));
+    let routes = "revision: 2\nroutes:\n  none: {path: /other, pool: booking}\n";
+    let pools = format!(
+        "revision: 2\npools:\n  booking:\n    kind: service\n    upstreams:\n      \
+         vm-3: {{rpc: \"{}\", zone: z1}}\n",
+        system.agents[2].rpc
+    );
+    system.put("routes", routes);
+    system.put("pools", &pools);
+    system.revision = 2;
+    let second = &system.entries[1];
+    until("the other entry holds the change", || {
+        dump(second.admin)["tables"]["revision"] == 2
+    });
+    let entry = &system.entries[0];
+    entry.process.signal("CONT");
+    let (status, _, body) = http(entry.http, "POST", "/v1/completions", &[], BODY).unwrap();
+    assert_eq!(status, 404, "{body}");
+}
