demo: Check the end of new work in one place

Cause: the drain of an engine and of the booking pool repeated the same check. Change: one function for both.

--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -21,6 +21,9 @@
 /// Time after which a leaving upstream gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time for which a left upstream is watched for new work.
+const QUIET: Duration = Duration::from_millis(500);
+
 /// Longest time of one step.
 const STEP_LIMIT: Duration = Duration::from_secs(60);
 
@@ -171,13 +174,8 @@
     let engine = fleet.agents[0].engine.clone();
     fleet.publish(&[&name]);
     in_force(fleet, checks).await;
-    smol::Timer::after(LEAVING_LIMIT).await;
-    let begun = engine.started();
-    finish_streams(streams, checks, "drain").await;
-    smol::Timer::after(Duration::from_millis(500)).await;
-    let later = engine.started();
-    let detail = || format!("{name}: {} new requests", later - begun);
-    checks.check(Promise::P5, later == begun, detail);
+    let finish = finish_streams(streams, checks, "drain");
+    no_new_work(checks, &name, || engine.started(), finish).await;
     fleet.publish(&[]);
     in_force(fleet, checks).await;
     fleet.until_serving(STEP_LIMIT).await?;
@@ -187,6 +185,22 @@
     Ok(())
 }
 
+/// Checks that nothing is started from [`LEAVING_LIMIT`] on until some time after `busy`.
+async fn no_new_work(
+    checks: &Checks,
+    name: &str,
+    started: impl Fn() -> u64,
+    busy: impl Future<Output = ()>,
+) {
+    smol::Timer::after(LEAVING_LIMIT).await;
+    let begun = started();
+    busy.await;
+    smol::Timer::after(QUIET).await;
+    let later = started();
+    let detail = || format!("{name}: {} new requests", later - begun);
+    checks.check(Promise::P5, later == begun, detail);
+}
+
 fn start_streams(fleet: &Arc<Fleet>, checks: &Checks, outcome: &Arc<Outcome>) -> Vec<Stream> {
     let start = |index: usize| {
         let fleet = fleet.clone();
@@ -221,12 +235,8 @@
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     fleet.publish(&names);
     in_force(fleet, checks).await;
-    smol::Timer::after(LEAVING_LIMIT).await;
-    let begun: u64 = fleet.services().iter().map(|vm| vm.engine.started()).sum();
-    smol::Timer::after(Duration::from_millis(500)).await;
-    let later: u64 = fleet.services().iter().map(|vm| vm.engine.started()).sum();
-    let detail = || format!("booking: {} new requests", later - begun);
-    checks.check(Promise::P5, later == begun, detail);
+    let started = || fleet.services().iter().map(|vm| vm.engine.started()).sum();
+    no_new_work(checks, "booking", started, std::future::ready(())).await;
     send_late(fleet, barred, &tickets).await;
     fleet.publish(&[]);
     in_force(fleet, checks).await;
