standin: Show an example in the help

Cause: tests/cli_commands.rs: the command page listed `standin`, whose help had its example in the text and not in its own section. Change: use the example section, as the other commands do.

--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -17,10 +17,12 @@
 const THREADS: usize = 2;
 
 /// Run a stand-in for an outside system, for trials on one machine.
-///
-/// Example: chervilquay standin platform --listen 127.0.0.1:8500 --routes routes.yaml --pools pools.yaml
 #[derive(FromArgs)]
-#[argh(subcommand, name = "standin")]
+#[argh(
+    subcommand,
+    name = "standin",
+    example = "chervilquay standin platform --listen 127.0.0.1:8500 \\\n    --routes routes.yaml --pools pools.yaml"
+)]
 pub struct Args {
     #[argh(subcommand)]
     kind: Kind,
