log: Use the component loggers in the daemons

Cause: the daemons wrote their prefixes into each message beside component loggers that only a test used. Change: every record goes through the logger of its component. Conclusion: one place decides the prefixes.

--- a/src/agent/guard.rs
+++ b/src/agent/guard.rs
@@ -20,6 +20,7 @@
 use crate::gate::drain;
 use crate::gate::drain::Action;
 use crate::gate::drain::Drain;
+use crate::log::Component;
 use crate::once::Ledger;
 use crate::once::Limits;
 use crate::once::Print;
@@ -258,13 +259,18 @@
 fn carry_out(agent: &Agent, actions: &[Action]) {
     for action in actions {
         match action {
-            Action::Refuse => slog::info!(agent.node.log, "drain: new work is refused"),
-            Action::Serve => slog::info!(agent.node.log, "drain: work is taken again"),
+            Action::Refuse => {
+                slog::info!(agent.node.logger(Component::Gate), "new work is refused")
+            }
+            Action::Serve => slog::info!(agent.node.logger(Component::Gate), "work is taken again"),
             Action::Abort => {
-                slog::warn!(agent.node.log, "drain: time is up, requests are ended");
+                slog::warn!(
+                    agent.node.logger(Component::Gate),
+                    "time is up, requests are ended"
+                );
                 agent.guard.abort();
             }
-            Action::Exit => slog::info!(agent.node.log, "drain: done"),
+            Action::Exit => slog::info!(agent.node.logger(Component::Gate), "done"),
         }
     }
 }
@@ -289,7 +295,10 @@
     loop {
         smol::Timer::after(TICK).await;
         if tick(&agent) {
-            slog::info!(agent.node.log, "guard: time jumped, tables are read again");
+            slog::info!(
+                agent.node.logger(Component::Gate),
+                "time jumped, tables are read again"
+            );
             refresh(&agent).await;
         }
     }
--- a/src/agent/load.rs
+++ b/src/agent/load.rs
@@ -10,6 +10,7 @@
 use crate::agent::Duty;
 use crate::agent::turns;
 use crate::agent::weights;
+use crate::log::Component;
 use crate::prelude::*;
 use crate::rollout::turn;
 use crate::table::doc::Kind;
@@ -116,7 +117,7 @@
     loop {
         let changed = agent.node.view.listen();
         if let Err(error) = step(&agent).await {
-            slog::warn!(agent.node.log, "load: step failed"; "error" => %error);
+            slog::warn!(agent.node.logger(Component::Load), "step failed"; "error" => %error);
             smol::Timer::after(PAUSE).await;
             continue;
         }
@@ -176,7 +177,7 @@
     };
     if turns::is_held(agent, &duty, &pool) {
         let failures = agent.loaded.failures(&duty.digest);
-        slog::warn!(agent.node.log, "load: version held back"; "failures" => failures);
+        slog::warn!(agent.node.logger(Component::Load), "version held back"; "failures" => failures);
         return Ok(());
     }
     if is_out || turns::is_granted(agent, &duty, &pool) {
@@ -213,7 +214,7 @@
         // The tables changed while requests ended; the next step starts over.
         return Ok(());
     }
-    slog::info!(agent.node.log, "load: ordered"; "digest" => &duty.digest);
+    slog::info!(agent.node.logger(Component::Load), "ordered"; "digest" => &duty.digest);
     let source = agent.node.settings.admin;
     let ordered = agent
         .engine
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -31,6 +31,7 @@
 use crate::agent::weights::Weights;
 use crate::config::AgentSettings;
 use crate::gate::drain::HANDOVER;
+use crate::log::Component;
 use crate::net::body::BoxBody;
 use crate::net::rt;
 use crate::net::server;
@@ -142,7 +143,7 @@
         let queue = rt::spawn(self.queue.clone().run());
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed.clone()));
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed));
-        slog::info!(self.node.log, "agent: started"; "rpc" => %self.node.settings.rpc);
+        slog::info!(self.node.logger(Component::Process), "agent started"; "rpc" => %self.node.settings.rpc);
         let _ = stop.recv().await;
         self.finish(closer).await;
         let late = async {
@@ -157,7 +158,7 @@
     /// Stops admission at once and waits for running requests, up to the pool's drain time.
     async fn finish(&self, closer: Sender<()>) {
         self.gate.close();
-        slog::info!(self.node.log, "agent: draining"; "running" => self.gate.running());
+        slog::info!(self.node.logger(Component::Process), "agent draining"; "running" => self.gate.running());
         guard::stop(self).await;
         drop(closer);
     }
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -19,6 +19,7 @@
 use crate::agent::guard;
 use crate::agent::queue::Entrant;
 use crate::agent::queue::Turn;
+use crate::log::Component;
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
@@ -151,7 +152,7 @@
     let code = ended.as_ref().err().map(|error| error.code);
     agent.node.metrics.outcome(Metric::AttemptTotal, code);
     if let Err(error) = ended {
-        slog::debug!(agent.node.log, "serve: failed"; "error" => %error);
+        slog::debug!(agent.node.logger(Component::Gate), "attempt failed"; "error" => %error);
         frames.fail(&agent, error).await;
     }
 }
--- a/src/agent/turns.rs
+++ b/src/agent/turns.rs
@@ -5,6 +5,7 @@
 
 use crate::agent::Agent;
 use crate::agent::Duty;
+use crate::log::Component;
 use crate::net::client;
 use crate::net::rpc;
 use crate::net::rt;
@@ -173,7 +174,7 @@
     };
     let now = agent.node.clock.now();
     let turn = turn::may_leave(now, &agent.node.settings.name, version, pool);
-    slog::debug!(agent.node.log, "load: turn"; "turn" => ?turn);
+    slog::debug!(agent.node.logger(Component::Load), "turn"; "turn" => ?turn);
     turn == Turn::Granted
 }
 
--- a/src/entry/booking.rs
+++ b/src/entry/booking.rs
@@ -16,6 +16,7 @@
 use crate::entry::Entry;
 use crate::entry::attempt::Job;
 use crate::entry::request;
+use crate::log::Component;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::client;
@@ -123,7 +124,7 @@
             }
             Err(Lost::Told(error)) => return Err(error.into()),
             Err(Lost::Link(error)) => {
-                slog::debug!(entry.node.log, "booking: link lost"; "error" => %error);
+                slog::debug!(entry.node.logger(Component::Once), "link lost"; "error" => %error);
             }
         }
         match resolve(entry, addr, key).await {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use crate::config::EntrySettings;
 use crate::entry::booking::Owners;
 use crate::entry::pools::Pools;
+use crate::log::Component;
 use crate::net::rt;
 use crate::net::server;
 use crate::net::server::Limits;
@@ -75,9 +76,9 @@
         let systems = rt::spawn(self.pools.clone().run());
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed.clone()));
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed));
-        slog::info!(self.node.log, "entry: started"; "http" => %self.settings.http);
+        slog::info!(self.node.logger(Component::Process), "entry started"; "http" => %self.settings.http);
         self.clone().serve_callers(callers, stop).await;
-        slog::info!(self.node.log, "entry: stopped");
+        slog::info!(self.node.logger(Component::Process), "entry stopped");
         drop((closer, watch, systems, rpc_task, admin_task));
         Ok(())
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -12,6 +12,7 @@
 use crate::entry::Entry;
 use crate::entry::attempt::Job;
 use crate::entry::pools::PoolState;
+use crate::log::Component;
 use crate::net::rpc;
 use crate::net::rt;
 use crate::prelude::*;
@@ -213,7 +214,7 @@
     }
 
     fn fail(&mut self, attempt: u32, error: Error) {
-        slog::debug!(self.entry.node.log, "attempt: failed"; "error" => %error);
+        slog::debug!(self.entry.node.logger(Component::Route), "attempt failed"; "error" => %error);
         self.tasks.swap_remove(&attempt);
         self.drive(|flight, now, pool, out| {
             if error.code == Code::UpstreamBusy {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,8 @@
 use slog::Logger;
 
 use crate::config;
+use crate::log;
+use crate::log::Component;
 use crate::metric::Metrics;
 use crate::net::rpc::Channels;
 use crate::prelude::*;
@@ -48,6 +50,11 @@
         Node::with_spread(settings, log, Spread::Peers)
     }
 
+    /// Logger of a component, whose records start with its prefix.
+    pub fn logger(&self, component: Component) -> Logger {
+        log::component(&self.log, component)
+    }
+
     /// A node that gets its tables in the given way.
     pub fn with_spread(settings: config::Node, log: Logger, spread: Spread) -> Node {
         let clock = Clock::new();
--- a/src/node/tables.rs
+++ b/src/node/tables.rs
@@ -8,6 +8,8 @@
 use slog::Logger;
 
 use crate::config;
+use crate::log;
+use crate::log::Component;
 use crate::member::Live;
 use crate::net::client;
 use crate::net::rpc;
@@ -100,7 +102,7 @@
                 core: Mutex::new(Core::new(core, fastrand::Rng::new())),
                 hooks: Mutex::default(),
                 clock,
-                log,
+                log: log::component(&log, Component::Table),
                 view,
                 channels: Channels::default(),
                 platform: Platform::new(&settings.platform),
@@ -249,7 +251,7 @@
                     base,
                 } => rt::spawn(self.clone().pull(call, to, kind, base)).detach(),
                 Action::Live(live) => {
-                    slog::debug!(self.inner.log, "tables: live list"; "vms" => live.vms.len());
+                    slog::debug!(self.inner.log, "live list"; "vms" => live.vms.len());
                 }
                 Action::InForce(_) => {}
                 Action::Report { code, detail } => self.report(code, detail),
@@ -267,12 +269,12 @@
         drop(core);
         let revision = set.stamp.revision;
         if self.inner.view.offer(set) == Offer::Taken {
-            slog::info!(self.inner.log, "tables: revision in force"; "revision" => revision);
+            slog::info!(self.inner.log, "revision in force"; "revision" => revision);
         }
     }
 
     fn report(&self, code: Code, detail: String) {
-        slog::warn!(self.inner.log, "tables: {detail}"; "code" => %code);
+        slog::warn!(self.inner.log, "{detail}"; "code" => %code);
         let other = [
             Code::RevisionLower,
             Code::RevisionConflict,
@@ -287,7 +289,7 @@
         let reading = self.inner.platform.read(key.name(), index, wait).await;
         if let Err(error) = &reading {
             let key = key.name();
-            slog::debug!(self.inner.log, "tables: read failed"; "key" => key, "error" => %error);
+            slog::debug!(self.inner.log, "read failed"; "key" => key, "error" => %error);
         }
         let reading = reading.ok();
         if let Some(reading) = &reading {
