entry, agent: Make one piece of code serve each shared step

Cause: reading the whole change showed copies that the merges had brought: the weight of an organisation at entry and agent, the head of an answer for plain calls and bookings, a bounded call to an agent; product code that took a path parser from a stand-in; and three functions that nothing calls. Change: View::weight, answer::started, rpc::ask; blob_digest moves to rollout::manifest; Gate::is_closed, Client::keep and Limiter::set_entries go. Behaviour is unchanged. Conclusion: no test or check was touched.

--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -63,11 +63,6 @@
         self.lock().closed = true;
     }
 
-    /// True once the gate is closed.
-    pub fn is_closed(&self) -> bool {
-        self.lock().closed
-    }
-
     /// Waits until no request is in progress, for at most `limit`.
     pub async fn idle(&self, limit: Millis) {
         let wait = async {
@@ -213,17 +208,10 @@
 
 /// Waits for room at the upstream; an error means that the request was not run.
 pub async fn enter(agent: &Agent, request: &proto::ServeRequest) -> Result<Turn> {
-    let weight = weight(agent, &request.organisation);
+    let weight = agent.node.view.weight(&request.organisation);
     agent.queue.enter(Entrant::new(request, weight)).await
 }
 
-/// Weight of the organisation's share, by the tables in force.
-fn weight(agent: &Agent, org: &str) -> u32 {
-    let set = agent.node.view.get();
-    let share = set.and_then(|set| Some(set.routes.organisations.get(org)?.share));
-    share.unwrap_or(1)
-}
-
 /// The request as the upstream gets it.
 pub fn engine_request(
     agent: &Agent,
--- a/src/agent/turns.rs
+++ b/src/agent/turns.rs
@@ -6,7 +6,6 @@
 use crate::agent::Agent;
 use crate::agent::Duty;
 use crate::log::Component;
-use crate::net::client;
 use crate::net::rpc;
 use crate::net::rt;
 use crate::prelude::*;
@@ -150,11 +149,7 @@
 
 async fn ask(agent: &Agent, addr: SocketAddr) -> Result<proto::StateReply> {
     let mut client = agent.node.channels.agent(addr);
-    let reply = async {
-        let reply = client.state(proto::StateRequest {}).await;
-        Ok(reply.map_err(|s| rpc::from_status(&s))?.into_inner())
-    };
-    client::timeout(ASK_TIMEOUT, Code::RpcFailed, reply).await
+    rpc::ask(ASK_TIMEOUT, client.state(proto::StateRequest {})).await
 }
 
 fn view(agent: &Agent, reply: &proto::StateReply) -> View {
--- a/src/agent/weights.rs
+++ b/src/agent/weights.rs
@@ -22,8 +22,8 @@
 use crate::prelude::*;
 use crate::proto;
 use crate::rollout::Digest;
+use crate::rollout::manifest::blob_digest;
 use crate::rollout::plan::Member;
-use crate::standin::origin::blob_digest;
 
 /// Interval at which a pull looks for a change of the tables that it missed.
 const RECHECK: Duration = Duration::from_secs(1);
--- a/src/bench/rollout/origin.rs
+++ b/src/bench/rollout/origin.rs
@@ -15,8 +15,8 @@
 use crate::net::rt;
 use crate::prelude::*;
 use crate::rollout::Digest;
+use crate::rollout::manifest::blob_digest;
 use crate::standin;
-use crate::standin::origin::blob_digest;
 
 /// Parts on their way to one reader.
 const BUFFER: usize = 2;
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,5 +1,6 @@
 //! Error answers to callers: HTTP status and a problem body.
 
+use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -9,6 +10,7 @@
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::prelude::*;
+use crate::proto;
 
 /// When a caller may come back if nothing better is known.
 const DEFAULT_RETRY: Millis = Millis(1_000);
@@ -46,3 +48,20 @@
     let after = error.retry.or(is_passing.then_some(DEFAULT_RETRY))?;
     Some(after.0.div_ceil(1_000).max(1))
 }
+
+/// The answer of an upstream: its status and headers with this body.
+pub fn started(head: &proto::Head, body: BoxBody) -> Response<BoxBody> {
+    let mut response = Response::new(body);
+    let status = u16::try_from(head.status).ok();
+    *response.status_mut() = status
+        .and_then(|s| StatusCode::from_u16(s).ok())
+        .unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in &head.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,13 +1,11 @@
 //! Brings a request to an upstream and its answer back to the caller.
 
-use http::HeaderName;
-use http::HeaderValue;
 use http::Response;
-use http::StatusCode;
 use smol::channel;
 use smol::channel::Sender;
 
 use crate::entry::Entry;
+use crate::entry::answer;
 use crate::entry::request::Request;
 use crate::entry::request::Step;
 use crate::net::body;
@@ -83,7 +81,7 @@
 /// Applies the limits; what passes is described for the choice.
 fn admit(entry: &Entry, job: &Job) -> Result<Ask> {
     let now = entry.node.clock.now();
-    let weight = weight(entry, &job.organisation);
+    let weight = entry.node.view.weight(&job.organisation);
     let is_controlled = entry.pools.is_controlled();
     if is_controlled {
         entry.pools.limits(|l| l.admit(now, &job.organisation))?;
@@ -104,27 +102,10 @@
     admitted.unwrap_or_else(|| Err(Error::new(Code::NoUpstream, job.route.pool.clone())))
 }
 
-fn weight(entry: &Entry, org: &str) -> u32 {
-    let set = entry.node.view.get();
-    let share = set.and_then(|set| Some(set.routes.organisations.get(org)?.share));
-    share.unwrap_or(1)
-}
-
 /// The caller's answer, whose body is copied by a task of its own.
 fn respond(run: Request, head: &proto::Head) -> Response<BoxBody> {
     let (sender, receiver) = channel::bounded(BODY_BUFFER);
-    let mut response = Response::new(body::channel(receiver));
-    let status = u16::try_from(head.status).ok();
-    *response.status_mut() = status
-        .and_then(|s| StatusCode::from_u16(s).ok())
-        .unwrap_or(StatusCode::BAD_GATEWAY);
-    for header in &head.headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
+    let response = answer::started(head, body::channel(receiver));
     rt::spawn(copy(run, sender)).detach();
     response
 }
--- a/src/entry/booking.rs
+++ b/src/entry/booking.rs
@@ -1,25 +1,22 @@
 //! Calls with a ticket: sent to the one agent that may run them, resolved after a lost link.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
-use http::StatusCode;
 use serde::Deserialize;
 use serde_json::json;
 use smol::future::FutureExt;
 
 use crate::entry::Entry;
+use crate::entry::answer;
 use crate::entry::attempt::Job;
 use crate::entry::request;
 use crate::log::Component;
 use crate::net::body;
 use crate::net::body::BoxBody;
-use crate::net::client;
 use crate::net::rpc;
 use crate::once::Ticket;
 use crate::prelude::*;
@@ -250,7 +247,7 @@
     let request = proto::ResolveRequest {
         ticket: key.to_string(),
     };
-    let reply = ask(client.resolve(request)).await;
+    let reply = rpc::ask(ASK_TIMEOUT, client.resolve(request)).await;
     let reply = reply.map_err(|_| unknown("the agent cannot be reached"))?;
     match reply.state() {
         proto::KeyState::KeyRunning => Ok(None),
@@ -260,30 +257,8 @@
     }
 }
 
-async fn ask<T>(
-    call: impl Future<Output = std::result::Result<tonic::Response<T>, tonic::Status>>,
-) -> Result<T> {
-    let reply = async {
-        let reply = call.await.map_err(|s| rpc::from_status(&s))?;
-        Ok(reply.into_inner())
-    };
-    client::timeout(ASK_TIMEOUT, Code::RpcFailed, reply).await
-}
-
 fn respond(answer: Whole) -> Response<BoxBody> {
-    let mut response = Response::new(body::full(answer.body));
-    let status = u16::try_from(answer.head.status).ok();
-    *response.status_mut() = status
-        .and_then(|s| StatusCode::from_u16(s).ok())
-        .unwrap_or(StatusCode::BAD_GATEWAY);
-    for header in &answer.head.headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
+    answer::started(&answer.head, body::full(answer.body))
 }
 
 /// A ticket for an agent of the pool that serves now.
@@ -302,7 +277,7 @@
         };
         tried.push(target.key);
         let mut client = entry.node.channels.agent(target.rpc);
-        let Ok(state) = ask(client.state(proto::StateRequest {})).await else {
+        let Ok(state) = rpc::ask(ASK_TIMEOUT, client.state(proto::StateRequest {})).await else {
             continue;
         };
         if state.name != target.name || state.leaving || !state.serving {
--- a/src/limit/org.rs
+++ b/src/limit/org.rs
@@ -73,14 +73,6 @@
         }
     }
 
-    /// Sets the number of entries that the live list names.
-    ///
-    /// Entries that are merely silent still count: in a partition, they go on
-    /// admitting their safe share.
-    pub fn set_entries(&mut self, entries: usize) {
-        self.entries = entries.max(1);
-    }
-
     /// Sets the limit of an organisation, in requests a second.
     pub fn set_limit(&mut self, now: Millis, org: &str, limit: Option<f64>) {
         let safe = limit.map_or(0.0, |limit| limit / self.entries as f64);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -71,11 +71,6 @@
         }
     }
 
-    /// Keeps the connection for the next request; call when the body is read.
-    pub fn keep(&self, answer: Answer) {
-        self.put(answer.sender);
-    }
-
     /// Splits an answer so that the body can be read before the connection is kept.
     pub fn split(answer: Answer) -> (Response<Incoming>, Kept) {
         (answer.response, Kept(answer.sender))
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -200,6 +200,18 @@
     }
 }
 
+/// Waits at most `limit` for the reply of a call.
+pub async fn ask<T>(
+    limit: Duration,
+    call: impl Future<Output = std::result::Result<tonic::Response<T>, tonic::Status>>,
+) -> Result<T> {
+    let reply = async {
+        let reply = call.await.map_err(|s| from_status(&s))?;
+        Ok(reply.into_inner())
+    };
+    client::timeout(limit, Code::RpcFailed, reply).await
+}
+
 /// The library's error for a failed call.
 ///
 /// Whether the call ran is not known, unless there was no connection to send it on.
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -48,6 +48,13 @@
         self.get().map(|s| s.stamp.clone()).unwrap_or_default()
     }
 
+    /// Weight of an organisation's fair share; 1 where the tables name none.
+    pub fn weight(&self, org: &str) -> u32 {
+        let set = self.get();
+        let share = set.and_then(|set| Some(set.routes.organisations.get(org)?.share));
+        share.unwrap_or(1)
+    }
+
     /// Puts a set in force if it is greater than the one held.
     pub fn offer(&self, set: Arc<Set>) -> Offer {
         let mut state = self.lock();
--- a/src/rollout/manifest.rs
+++ b/src/rollout/manifest.rs
@@ -195,3 +195,11 @@
     })
     .to_string()
 }
+
+/// The digest in `/v2/NAME/manifests/DIGEST` or `/v2/NAME/blobs/DIGEST`.
+pub fn blob_digest(path: &str) -> Option<&str> {
+    let rest = path.strip_prefix("/v2/")?;
+    let (rest, digest) = rest.rsplit_once('/')?;
+    let kind = rest.rsplit_once('/')?.1;
+    (kind == "manifests" || kind == "blobs").then_some(digest)
+}
--- a/src/standin/origin.rs
+++ b/src/standin/origin.rs
@@ -17,6 +17,7 @@
 use crate::error::Result;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::rollout::manifest::blob_digest;
 use crate::standin;
 use crate::standin::Running;
 use crate::util;
@@ -85,11 +86,3 @@
         Response::new(body::full(blob.clone()))
     }
 }
-
-/// The digest in `/v2/NAME/manifests/DIGEST` or `/v2/NAME/blobs/DIGEST`.
-pub fn blob_digest(path: &str) -> Option<&str> {
-    let rest = path.strip_prefix("/v2/")?;
-    let (rest, digest) = rest.rsplit_once('/')?;
-    let kind = rest.rsplit_once('/')?.1;
-    (kind == "manifests" || kind == "blobs").then_some(digest)
-}
