--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -264,6 +264,24 @@
         }
     }
 
+    /// Notes a stream that ended whole.
+    pub fn streamed(&self, job: &Job, tried: &Tried, first: Millis, pause: Millis) {
+        let now = self.node.now();
+        lock(&self.suspects).success(now, &job.print);
+        self.node
+            .metrics()
+            .outcome(crate::metric::Metric::RequestTotal, None);
+        let is_late = first > job.route.objective || job.route.pause.is_some_and(|p| pause > p);
+        let kind = if is_late { Kind::Late } else { Kind::Answered };
+        if self.node.journal().admits(now, kind) {
+            info!(self.node.journal().log(), "route: stream answered";
+                "request" => &job.call.id, "route" => &job.route.name, "late" => is_late,
+                "first_ms" => first.0, "predicted_ms" => tried.predicted as u64, "pause_ms" => pause.0,
+                "state" => &tried.state,
+                "sends" => tried.sends, "age_ms" => now.since(job.arrived).0);
+        }
+    }
+
     /// Notes a request that ended in a failure of our own.
     pub fn failed(&self, job: &Job, tried: &Tried, error: &Error) {
         let now = self.node.now();
--- a/src/direct/fill.rs
+++ b/src/direct/fill.rs
@@ -15,7 +15,6 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::future::FutureExt;
-use smol::lock::Semaphore;
 
 use crate::direct::entry::status_only;
 use crate::direct::journal::Kind;
@@ -45,16 +44,18 @@
 pub const PATH: &str = "/piece";
 
 /// Time for which a peer may hold a pull open until it has the piece.
-const HOLD: Duration = Duration::from_millis(600);
+const HOLD: Duration = Duration::from_millis(1_000);
 
 /// Time for a pull from a peer: the hold and a piece over a narrow link.
-const PULL_TIMEOUT: Duration = Duration::from_millis(1_600);
+const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Pieces sent at once; more would only share the link.
-const MAX_UPLOADS: usize = 3;
+/// Part of the VM's link that pieces may take: the answers of its runner use
+/// the same link, and must not queue behind pieces.
+const UPLOAD_SHARE: f64 = 0.7;
 
-/// Interval of the loop.
-const TICK: Duration = Duration::from_millis(50);
+/// Interval of the loop. The runner's report on its own machine is free, and
+/// its pace changes many times a second.
+const TICK: Duration = Duration::from_millis(20);
 
 /// Longest age of a check of the staged pieces at an order: they may turn bad.
 const CHECK_AGE: Millis = Millis(1_200);
@@ -87,7 +88,8 @@
     work: Mutex<Work>,
     /// Told when a piece arrives.
     arrived: Event,
-    uploads: Semaphore,
+    /// When the link has room for the next piece.
+    uploads: Mutex<Millis>,
     holders: Mutex<IndexMap<String, (u64, Millis)>>,
 }
 
@@ -112,7 +114,7 @@
             addr,
             work: Mutex::default(),
             arrived: Event::new(),
-            uploads: Semaphore::new(MAX_UPLOADS),
+            uploads: Mutex::default(),
             holders: Mutex::default(),
         }
     }
@@ -234,6 +236,10 @@
                     work.wrong += 1;
                     Err(Error::new(Code::ChunkCorrupt, "digest differs"))
                 }
+                Err(error) if error.code == Code::ChunkMissing => {
+                    pieces.absent(index);
+                    return;
+                }
                 Err(error) => {
                     pieces.failed(now, index);
                     Err(error)
@@ -590,10 +596,24 @@
         let Some(bytes) = bytes else {
             return status_only(StatusCode::NOT_FOUND);
         };
-        let _permit = self.uploads.acquire().await;
+        self.await_room(bytes.len()).await;
         Response::new(body::full(bytes))
     }
 
+    /// Waits until the link has room for a piece.
+    async fn await_room(&self, length: usize) {
+        let rate = self.node.settings().link_mbps * 125.0 * UPLOAD_SHARE;
+        let span = Millis((length as f64 / rate.max(1.0)) as u64);
+        let now = self.node.now();
+        let start = {
+            let mut next = lock(&self.uploads);
+            let start = (*next).max(now);
+            *next = start.plus(span);
+            start
+        };
+        smol::Timer::after(start.since(now).duration()).await;
+    }
+
     fn held(&self, version: u64, index: u32) -> Option<Bytes> {
         let work = lock(&self.work);
         let pieces = work.pieces.as_ref()?;
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -18,11 +18,17 @@
 use crate::prelude::*;
 
 /// Shortest interval between two datagrams to one process.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(20);
 
-/// Longest interval to processes that use what is told.
+/// Longest interval to entries, which place requests by what is told.
+///
+/// News goes at once within the zone; to other zones, where bytes are dear and
+/// few requests go, it waits for this interval.
 const NEAR_INTERVAL: Millis = Millis(250);
 
+/// Interval at which datagrams name other processes.
+const NAMING_INTERVAL: Millis = Millis(1_000);
+
 /// Longest interval to processes that only need to know that this one lives.
 const FAR_INTERVAL: Millis = Millis(500);
 
@@ -144,12 +150,17 @@
     /// Sends until the task is dropped.
     pub async fn send(&self) {
         let mut last = Datagram::default();
+        let mut named = Millis(0);
         loop {
             smol::Timer::after(TICK).await;
             let now = self.node.now();
-            let current = self.datagram(now, MAX_NAMED, false);
+            let names = now.since(named) >= NAMING_INTERVAL;
+            if names {
+                named = now;
+            }
+            let current = self.datagram(now, if names { MAX_NAMED } else { 0 }, false);
             let is_news = news(&last, &current);
-            let moved = last.revision != current.revision;
+            let moved = last.revision != current.revision || changed(&last, &current);
             let bytes = current.encode_to_vec();
             for (ip, role) in self.targets(now, is_news, moved) {
                 let addr = SocketAddr::new(ip, self.node.settings().ports.0);
@@ -177,7 +188,7 @@
             known.push(peer.ip);
             let uses = peer.role == Role::Entry;
             let (interval, at_once) = if uses {
-                (NEAR_INTERVAL, is_news || moved)
+                (NEAR_INTERVAL, moved || is_news && peer.zone == own.zone)
             } else {
                 (FAR_INTERVAL, moved)
             };
@@ -223,7 +234,11 @@
         } else {
             0
         };
-        let chosen = peers.iter().skip(start).chain(peers.iter()).take(named.min(count));
+        let chosen = peers
+            .iter()
+            .skip(start)
+            .chain(peers.iter())
+            .take(named.min(count));
         datagram.peers = chosen
             .map(|peer| PeerDoc {
                 name: peer.name.clone(),
@@ -242,18 +257,19 @@
     if entry { Role::Entry } else { Role::Agent }
 }
 
-/// True when receivers should hear of the change at once.
+/// True when receivers of the zone should hear of the change at once.
 fn news(last: &Datagram, current: &Datagram) -> bool {
+    let figures = |d: &Datagram| d.status.as_ref().map(|s| (s.pace / 25, s.calls / 4));
+    last.loads != current.loads || figures(last) != figures(current)
+}
+
+/// True when all receivers should hear of the change at once.
+fn changed(last: &Datagram, current: &Datagram) -> bool {
     let key = |d: &Datagram| {
-        d.status.as_ref().map(|s| {
-            (
-                s.busy,
-                s.holdings.clone(),
-                s.complete,
-                s.pace / 25,
-                s.calls / 4,
-            )
-        })
+        d.status
+            .as_ref()
+            .map(|s| (s.busy, s.holdings.clone(), s.complete))
     };
-    last.loads != current.loads || last.suspects != current.suspects || key(last) != key(current)
+    let count = |d: &Datagram| d.suspects.iter().map(|s| s.crashes + s.clears).sum::<u32>();
+    count(last) != count(current) || key(last) != key(current)
 }
--- a/src/direct/journal.rs
+++ b/src/direct/journal.rs
@@ -27,6 +27,8 @@
 pub enum Kind {
     /// A request that was answered by an upstream.
     Answered,
+    /// A stream that ended whole and late.
+    Late,
     /// A request that was refused before it was sent.
     Refused,
     /// A request that ended in a failure of our own.
@@ -42,8 +44,9 @@
 }
 }
 
-const KINDS: [Kind; 7] = [
+const KINDS: [Kind; 8] = [
     Kind::Answered,
+    Kind::Late,
     Kind::Refused,
     Kind::Failed,
     Kind::Repeated,
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -32,7 +32,8 @@
 /// body is dropped, and with it the connection to the upstream.
 pub fn body(entry: Arc<Entry>, job: Job, tried: Tried, source: Source) -> BoxBody {
     let stream = async_stream::stream! {
-        let mut relay = Relay { entry, job, tried, last: None };
+        let began = entry.node.now();
+        let mut relay = Relay { entry, job, tried, last: None, began, passed: began, pause: Millis(0) };
         let mut source = source;
         loop {
             for event in std::mem::take(&mut source.events) {
@@ -71,11 +72,20 @@
     job: Job,
     tried: Tried,
     last: Option<u64>,
+    /// When the first event was passed on.
+    began: Millis,
+    /// When the last event was passed on.
+    passed: Millis,
+    /// Longest pause between two events.
+    pause: Millis,
 }
 
 impl Relay {
     /// True when the event is the next one; false when the caller has it already.
     fn check(&mut self, event: &crate::net::events::Event) -> Result<bool> {
+        let now = self.entry.node.now();
+        self.pause = self.pause.max(now.since(self.passed));
+        self.passed = now;
         let Some(id) = event.id else {
             return Ok(true);
         };
@@ -176,8 +186,9 @@
         if let Some((client, kept)) = source.kept.take() {
             client.give_back(kept);
         }
+        let first = self.began.since(self.job.arrived);
         self.entry
-            .answered(&self.job, &self.tried, http::StatusCode::OK);
+            .streamed(&self.job, &self.tried, first, self.pause);
     }
 
     fn failed(&self, error: &Error) {
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -111,6 +111,10 @@
     pub sends: u32,
     /// Sends that ran, or may have.
     pub runs: u32,
+    /// Prediction of the last send, in milliseconds.
+    pub predicted: f64,
+    /// What was known of the upstream at the last send.
+    pub state: String,
 }
 
 /// Brings a request to an upstream and its answer back.
@@ -229,6 +233,11 @@
         Err(error) => return Brought::Unsent(error),
     };
     tried.sends += 1;
+    tried.predicted = first;
+    tried.state = entry
+        .placer()
+        .get(target)
+        .map_or_else(String::new, |t| t.brief(now));
     let mut flight = entry.take_off(now, target, &job.want, first);
     let left = job.deadline.since(now).0 as f64;
     let least = if job.route.stream {
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -26,8 +26,9 @@
     born: u64,
     #[serde(default)]
     models: Vec<ModelDoc>,
+    /// Null when nothing is loaded.
     #[serde(default)]
-    layers: Layers,
+    layers: Option<Layers>,
 }
 
 /// The loaded layers: one range, or several while layers are added.
@@ -38,12 +39,6 @@
     Many(Vec<LayersDoc>),
 }
 
-impl Default for Layers {
-    fn default() -> Layers {
-        Layers::Many(Vec::new())
-    }
-}
-
 #[derive(Clone, Deserialize)]
 pub(super) struct ModelDoc {
     name: String,
@@ -53,10 +48,14 @@
 #[derive(Clone, Deserialize)]
 pub(super) struct LayersDoc {
     /// First layer.
+    #[serde(default)]
     from: u32,
     /// The layer after the last one.
+    #[serde(default)]
     to: u32,
-    version: u64,
+    /// Null when nothing is loaded.
+    #[serde(default)]
+    version: Option<u64>,
 }
 
 /// Decodes one runner's entry; `key` is the key that it stands under.
@@ -80,7 +79,7 @@
         slots: doc.slots,
         draining,
         born: doc.born,
-        holdings: holdings(&doc.models, &doc.layers),
+        holdings: holdings(&doc.models, doc.layers.as_ref()),
     })
 }
 
@@ -88,13 +87,16 @@
 ///
 /// Layers are listed without the model's name: a runner loads the layers of
 /// one model at a time, so they belong to each model of the same version.
-pub(super) fn holdings(models: &[ModelDoc], layers: &Layers) -> Vec<Holding> {
+pub(super) fn holdings(models: &[ModelDoc], layers: Option<&Layers>) -> Vec<Holding> {
     let layers = match layers {
-        Layers::One(part) => std::slice::from_ref(part),
-        Layers::Many(parts) => parts.as_slice(),
+        None => &[],
+        Some(Layers::One(part)) => std::slice::from_ref(part),
+        Some(Layers::Many(parts)) => parts.as_slice(),
     };
     let holding = |model: &ModelDoc| {
-        let own = layers.iter().filter(|part| part.version == model.version);
+        let own = layers
+            .iter()
+            .filter(|part| part.version == Some(model.version));
         let mut own: Vec<(u32, u32)> = own.map(|part| (part.from, part.to)).collect();
         own.sort_unstable();
         let covered = own.iter().fold(
@@ -103,7 +105,9 @@
                 if *from <= upto { upto.max(*to) } else { upto }
             },
         );
-        let mixed = layers.iter().any(|part| part.version != model.version);
+        let mixed = layers
+            .iter()
+            .any(|part| part.version != Some(model.version));
         Holding {
             model: model.name.clone(),
             version: model.version,
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -50,7 +50,7 @@
     #[serde(default)]
     models: Vec<registry::ModelDoc>,
     #[serde(default)]
-    layers: registry::Layers,
+    layers: Option<registry::Layers>,
     #[serde(default)]
     busy: bool,
     #[serde(default)]
@@ -103,7 +103,7 @@
             .await?;
         let doc: ReportDoc = decode(status, &bytes)?;
         Ok(Report {
-            holdings: registry::holdings(&doc.models, &doc.layers),
+            holdings: registry::holdings(&doc.models, doc.layers.as_ref()),
             busy: doc.busy,
             orders: doc.seq,
             running: doc.running,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -57,6 +57,8 @@
     pub retry_window: Millis,
     /// Descriptors of the process.
     pub descriptors: usize,
+    /// Bandwidth of the machine's link, in Mbit/s.
+    pub link_mbps: f64,
 }
 }
 
@@ -105,6 +107,7 @@
         retry_slack: fields.or("bounds.retry_slack", 0.0)?,
         retry_window: Millis((fields.or("bounds.retry_window_s", 10.0)? * 1_000.0) as u64),
         descriptors: fields.or("limits.max_fds", 1_024)?,
+        link_mbps: fields.or("limits.link_mbps", 1_000.0)?,
     })
 }
 
--- a/src/platform/weights.rs
+++ b/src/platform/weights.rs
@@ -44,7 +44,7 @@
     /// A client of the origin at `addr`.
     pub fn new(addr: SocketAddr) -> Origin {
         let limits = Limits {
-            connect: Duration::from_millis(500),
+            connect: Duration::from_millis(2_000),
             idle: 2,
             idle_age: Duration::from_secs(2),
         };
--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -10,17 +10,25 @@
 use crate::rollout::manifest::Digest;
 use crate::rollout::rank;
 
-/// Time after which a piece is asked of any holder instead of its place in the tree.
-const TREE_TIMEOUT: Millis = Millis(900);
+/// Time after which a piece is asked of any holder, also in other zones.
+const TREE_TIMEOUT: Millis = Millis(1_500);
 
-/// Time after which a piece is asked of the origin, whoever should give it.
-const ORIGIN_TIMEOUT: Millis = Millis(1_800);
+/// Time after which a piece is asked of the origin, whoever should give it:
+/// a whole rollout over the tree takes about three seconds.
+const ORIGIN_TIMEOUT: Millis = Millis(4_000);
 
-/// Pulls in progress at once: enough to keep the own link busy.
-const MAX_PULLS: usize = 4;
+/// Pulls in progress at once. A pull waits at its source until the source has
+/// the piece, so most of them cost nothing.
+const MAX_PULLS: usize = 10;
+
+/// Pulls in progress at one agent.
+const MAX_AT_AGENT: usize = 3;
+
+/// Pulls in progress at the origin, whose link all agents share.
+const MAX_AT_ORIGIN: usize = 2;
 
 /// Time for which a source that failed is not asked again.
-const SOURCE_PAUSE: Millis = Millis(600);
+const SOURCE_PAUSE: Millis = Millis(1_000);
 
 common! { value
 /// Digests of all pieces of a version.
@@ -80,12 +88,12 @@
 }
 
 impl Group {
-    /// The agent of a zone that gets a piece first.
-    fn head(&self, zone: &str, key: &str) -> Option<&str> {
+    /// The agent of a zone that gets a piece first, among those that can be asked.
+    fn head(&self, zone: &str, key: &str, is_open: &dyn Fn(&str) -> bool) -> Option<&str> {
         let others = self.others.iter().filter(|h| h.zone == zone);
+        let names = others.map(|h| h.name.as_str()).filter(|name| is_open(name));
         let own = (self.zone == zone).then_some(self.own.as_str());
-        let names = others.map(|h| h.name.as_str()).chain(own);
-        names.min_by_key(|name| rank::weight(key, name))
+        names.chain(own).min_by_key(|name| rank::weight(key, name))
     }
 
     /// Zone whose agents draw from the origin.
@@ -100,13 +108,12 @@
     }
 
     /// The place in the tree that gives this agent a piece.
-    fn parent(&self, key: &str) -> Source {
-        let own_head = self.head(&self.zone, key);
-        if own_head.is_some_and(|head| head != self.own) {
-            return Source::Agent(own_head.unwrap_or_default().to_string());
+    fn parent(&self, key: &str, is_open: &dyn Fn(&str) -> bool) -> Source {
+        match self.head(&self.zone, key, is_open) {
+            Some(head) if head != self.own => return Source::Agent(head.to_string()),
+            _ => {}
         }
-        let first = self.first_zone();
-        match self.head(first, key) {
+        match self.head(self.first_zone(), key, is_open) {
             Some(head) if head != self.own => Source::Agent(head.to_string()),
             _ => Source::Origin,
         }
@@ -175,7 +182,12 @@
         true
     }
 
-    /// Counts a pull that brought nothing, or the wrong bytes.
+    /// Counts a pull whose source does not have the piece yet.
+    pub fn absent(&mut self, index: u32) {
+        self.pulls.swap_remove(&index);
+    }
+
+    /// Counts a pull whose source failed or gave the wrong bytes.
     pub fn failed(&mut self, now: Millis, index: u32) {
         if let Some((Source::Agent(name), _)) = self.pulls.swap_remove(&index) {
             self.paused.insert(name, now.plus(SOURCE_PAUSE));
@@ -194,7 +206,7 @@
             let source = self.source(now, group, index);
             let key = self.key(index);
             // Pieces that others wait for come first; the rest in an order of one's own.
-            let leads = group.head(&group.zone, &key) == Some(group.own.as_str());
+            let leads = group.head(&group.zone, &key, &|_| true) == Some(group.own.as_str());
             wanted.push((!leads, rank::weight(&key, &group.own), index, source));
         }
         wanted.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
@@ -212,11 +224,10 @@
         started
     }
 
-    /// Pulls in progress at one source: two keep a link busy between answers.
     fn most(&self, source: &Source) -> usize {
         match source {
-            Source::Origin => 3,
-            Source::Agent(_) => 2,
+            Source::Origin => MAX_AT_ORIGIN,
+            Source::Agent(_) => MAX_AT_AGENT,
         }
     }
 
@@ -238,11 +249,12 @@
         {
             return Source::Agent(holder.name.clone());
         }
-        match group.parent(&key) {
-            Source::Agent(name) if is_open(&name) && waited < ORIGIN_TIMEOUT => Source::Agent(name),
-            // Nobody else is left to ask: the origin has every piece.
-            _ if near.is_some() => Source::Agent(near.map(|h| h.name.clone()).unwrap_or_default()),
-            _ => Source::Origin,
+        if waited >= ORIGIN_TIMEOUT {
+            return match near {
+                Some(holder) => Source::Agent(holder.name.clone()),
+                None => Source::Origin,
+            };
         }
+        group.parent(&key, &is_open)
     }
 }
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -45,7 +45,7 @@
 
 /// What an upstream of another zone must be better by, in milliseconds:
 /// bytes between zones are dear and links between regions narrow.
-const REMOTE_MS: f64 = 18.0;
+const REMOTE_MS: f64 = 35.0;
 
 /// Work of a plain service before any was observed, in milliseconds.
 const PLAIN_MS: f64 = 30.0;
@@ -56,6 +56,9 @@
 /// Part of the longest pause that the reading of new prompts may take.
 const PAUSE_SHARE: f64 = 0.8;
 
+/// Part of the places that must be free for a request that will be late.
+const SPARE_SHARE: f64 = 0.2;
+
 /// Time between the prediction and the caller: parsing, links, wake-ups.
 const OVERHEAD_MS: f64 = 12.0;
 
@@ -343,7 +346,7 @@
             };
         }
         let best = found.iter().map(|(f, _)| *f).fold(f64::INFINITY, f64::min);
-        if !self.is_worth(now, want, best, &found) {
+        if !self.is_worth(now, want, best) {
             return Choice::Full {
                 first: best,
                 retry: Millis((best - want.slack.unwrap_or(0.0)).clamp(50.0, 5_000.0) as u64),
@@ -357,17 +360,17 @@
     /// True when the best prediction is good enough to take the place.
     ///
     /// A request that can be on time may wait for a place; the less it is
-    /// worth for the engine time that it takes, the shorter. One that is late
-    /// anyway takes only a place that is free.
-    fn is_worth(&self, now: Millis, want: &Want, best: f64, found: &[(f64, Key<Target>)]) -> bool {
-        let Some(slack) = want.slack else {
-            let is_free = |key: &Key<Target>| {
-                let target = self.targets.get(*key);
-                target.is_some_and(|t| t.room(now) >= 1.0)
-            };
-            return best <= want.patience && found.iter().any(|(_, key)| is_free(key));
-        };
-        best <= slack * want.density.clamp(0.5, 1.0)
+    /// worth for the engine time that it takes, the shorter. One that will be
+    /// late anyway only takes places that would stay empty.
+    fn is_worth(&self, now: Millis, want: &Want, best: f64) -> bool {
+        if want
+            .slack
+            .is_some_and(|s| best <= s * want.density.clamp(0.5, 1.0))
+        {
+            return true;
+        }
+        let (free, all) = self.places(now, want);
+        best <= want.patience && free >= SPARE_SHARE * all && free >= 1.0
     }
 
     /// Counts a call that is sent.
@@ -455,6 +458,21 @@
 }
 
 impl Target {
+    /// What the prediction was made from, for the log.
+    pub fn brief(&self, now: Millis) -> String {
+        let load = self.load(now);
+        let known = self.status(now).map_or(0, |s| s.calls);
+        format!(
+            "{} calls {} own {} reported {known} unread {:.0} pace {:.2} slowness {:.2}",
+            self.entry.id,
+            load.calls,
+            self.own.calls,
+            load.unread,
+            self.pace(now),
+            self.slowness(now)
+        )
+    }
+
     /// State for operators.
     pub fn dump(&self, now: Millis) -> serde_json::Value {
         let load = self.load(now);
@@ -567,7 +585,7 @@
             first += (calls + 1.0 - slots) * engine.interval();
         } else {
             first += load.unread;
-            let pause = pass + load.unread + read;
+            let pause = (pass + load.unread + read) * self.pace(now);
             if want.pause.is_some_and(|most| pause > PAUSE_SHARE * most) {
                 // The streams of the batch would stand still for too long.
                 first += pause;
