--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod fleet;
+pub mod place;
 pub mod requests;
 pub mod rollout;
 pub mod tables;
--- /dev/null
+++ b/src/bench/place/load.rs
@@ -0,0 +1,115 @@
+//! Load patterns of the placement experiment.
+
+use fastrand::Rng;
+
+use crate::bench::place::RUNNERS;
+use crate::prelude::*;
+use crate::route::engine::Engine;
+use crate::route::engine::Size;
+
+/// Part of a generation's worth that does not depend on its size.
+const FIXED: f64 = 0.3;
+
+/// Weight of an output token against a prompt token.
+const OUTPUT: f64 = 10.0;
+
+/// Largest worth, relative to the usual request.
+const MAX_WORTH: f64 = 4.0;
+
+common! { key
+/// A load pattern.
+pub enum Pattern {
+    /// Constant load, in hundredths of the capacity.
+    Steady(u32),
+    /// Load at 0.8 of the capacity, and at 2.0 for three seconds in ten.
+    Burst,
+    /// A third of the runners are lost for eight seconds at 0.8 of the capacity.
+    Lost,
+    /// A quarter of the runners are eight times as slow at 0.6 of the capacity.
+    Slow,
+    /// Every runner reloads in turn at 0.8 of the capacity.
+    Reload,
+}
+}
+
+impl Pattern {
+    /// Every pattern with its name.
+    pub const ALL: [(&'static str, Pattern); 8] = [
+        ("steady-0.6", Pattern::Steady(60)),
+        ("steady-1.0", Pattern::Steady(100)),
+        ("steady-1.5", Pattern::Steady(150)),
+        ("steady-2.5", Pattern::Steady(250)),
+        ("burst", Pattern::Burst),
+        ("lost", Pattern::Lost),
+        ("slow", Pattern::Slow),
+        ("reload", Pattern::Reload),
+    ];
+
+    /// The pattern with this name.
+    pub fn named(name: &str) -> Option<Pattern> {
+        let found = Pattern::ALL.iter().find(|(n, _)| *n == name);
+        found.map(|(_, pattern)| *pattern)
+    }
+
+    fn load(self, at: f64) -> f64 {
+        match self {
+            Pattern::Steady(percent) => f64::from(percent) / 100.0,
+            Pattern::Burst if at % 10_000.0 > 7_000.0 => 2.0,
+            Pattern::Slow => 0.6,
+            Pattern::Burst | Pattern::Lost | Pattern::Reload => 0.8,
+        }
+    }
+}
+
+/// One request of the load.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it comes, in milliseconds.
+    pub at: f64,
+    /// Its real size.
+    pub size: Size,
+    /// Its size as the caller estimates it.
+    pub told: Size,
+    /// Its worth, relative to the usual request.
+    pub worth: f64,
+}
+
+/// All requests of a run.
+pub fn arrivals(pattern: Pattern, engine: &Engine, rng: &mut Rng, length: f64) -> Vec<Arrival> {
+    let capacity = RUNNERS as f64 / engine.interval();
+    let mut found = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let rate = capacity * pattern.load(at);
+        at += -(1.0 - rng.f64()).ln() / rate;
+        if at >= length {
+            return found;
+        }
+        found.push(arrival(at, engine, rng));
+    }
+}
+
+fn arrival(at: f64, engine: &Engine, rng: &mut Rng) -> Arrival {
+    let prompt = (engine.usual.prompt * spread(rng, 0.9)).clamp(50.0, 3_900.0);
+    let output = (engine.usual.output * spread(rng, 1.0)).clamp(5.0, 260.0);
+    let estimate = (output * spread(rng, 0.5) * 1.13).clamp(5.0, 400.0);
+    let weight = |s: Size| s.prompt + OUTPUT * s.output;
+    let size = Size { prompt, output };
+    let worth = FIXED + (1.0 - FIXED) * weight(size) / weight(engine.usual);
+    Arrival {
+        at,
+        size,
+        told: Size {
+            prompt,
+            output: estimate,
+        },
+        worth: worth.min(MAX_WORTH),
+    }
+}
+
+/// A log-normal factor with mean 1.
+fn spread(rng: &mut Rng, sigma: f64) -> f64 {
+    let angle = std::f64::consts::TAU * rng.f64();
+    let normal = (-2.0 * (1.0 - rng.f64()).ln()).sqrt() * angle.cos();
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
--- a/src/cmd/bench/mod.rs
+++ b/src/cmd/bench/mod.rs
@@ -3,6 +3,7 @@
 pub mod capacity;
 pub mod overhead;
 pub mod path;
+pub mod place;
 pub mod requests;
 pub mod rollout;
 pub mod tables;
@@ -25,6 +26,7 @@
     Capacity(capacity::Args),
     Overhead(overhead::Args),
     Path(path::Args),
+    Place(place::Args),
     Requests(requests::Args),
     Tables(tables::Args),
     Rollout(rollout::Args),
@@ -36,6 +38,7 @@
         Experiment::Capacity(args) => capacity::run(args),
         Experiment::Overhead(args) => overhead::run(args),
         Experiment::Path(args) => path::run(args),
+        Experiment::Place(args) => place::run(args),
         Experiment::Requests(args) => requests::run(args),
         Experiment::Tables(args) => tables::run(args),
         Experiment::Rollout(args) => rollout::run(args),
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -13,8 +13,6 @@
 use crate::platform::headers;
 use crate::platform::headers::Call;
 use crate::prelude::*;
-use crate::route::engine::Engine;
-use crate::route::engine::Size;
 use crate::route::place::Want;
 use crate::table::routing::Organisation;
 use crate::table::routing::Route;
@@ -160,21 +158,6 @@
         slack: (left > 0.0).then_some(left),
         pause: route.pause.map(|pause| pause.0 as f64),
         patience: patience as f64,
-        density: engine.map_or(1.0, |e| density(e, size)),
+        density: engine.map_or(1.0, |e| e.density(size)),
     })
 }
-
-/// Worth of a request for the engine time that it takes, relative to the usual one.
-///
-/// A generation is worth a fixed part and a part that grows with its size, so
-/// the smallest are worth most for their time.
-fn density(engine: &Engine, size: Size) -> f64 {
-    /// Part of the worth that does not depend on the size.
-    const FIXED: f64 = 0.3;
-    /// Weight of an output token against a prompt token.
-    const OUTPUT: f64 = 10.0;
-    let weight = |s: Size| (s.prompt + OUTPUT * s.output).max(1.0);
-    let worth = FIXED + (1.0 - FIXED) * weight(size) / weight(engine.usual);
-    let cost = engine.cost(size).max(1.0) / engine.cost(engine.usual).max(1.0);
-    worth / cost
-}
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -43,6 +43,10 @@
 /// Least time after which the answer of a plain service is overdue.
 const OVERDUE_PLAIN_MS: f64 = 280.0;
 
+/// Sends beyond the route's attempts, for upstreams that state that they did
+/// not run the request; more would use up the budget of all others.
+const EXTRA_SENDS: u32 = 1;
+
 /// Largest answer that is held whole.
 const MAX_ANSWER: usize = 16 << 20;
 
@@ -191,6 +195,10 @@
         let bound = entry.node.settings().rollout;
         want.least = entry.node.world().versions.least(now, bound, model);
     }
+    if tried.sends >= job.route.attempts.max(1) + EXTRA_SENDS {
+        let error = Error::new(Code::NoUpstream, "several upstreams did not run it");
+        return Err(open(error.with_retry(NOWHERE_RETRY)));
+    }
     if tried.sends > 0 {
         // A place elsewhere is worth more than the objective that is lost.
         want.slack = None;
@@ -264,11 +272,7 @@
             Brought::Answer(finish(entry, head, flight, target, client))
         }
         Ok(Reached::NotRun { busy }) => {
-            flight.outcome(if busy {
-                Outcome::Busy
-            } else {
-                Outcome::Refused
-            });
+            flight.outcome(if busy { Outcome::Busy } else { Outcome::Wrong });
             Brought::NotRun { busy }
         }
         Ok(Reached::Failure(response)) => {
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -12,7 +12,7 @@
 const BUCKET: Millis = Millis(500);
 
 /// Part of the budget that is used; counts of other entries are not known.
-const USED: f64 = 0.7;
+const USED: f64 = 0.55;
 
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -85,4 +85,20 @@
     pub fn interval(&self) -> f64 {
         self.cost(self.usual).max(1.0)
     }
+
+    /// Worth of a request for the engine time that it takes, relative to the
+    /// usual one.
+    ///
+    /// A generation is worth a fixed part and a part that grows with its size,
+    /// so the smallest are worth most for their time.
+    pub fn density(&self, size: Size) -> f64 {
+        /// Part of the worth that does not depend on the size.
+        const FIXED: f64 = 0.3;
+        /// Weight of an output token against a prompt token.
+        const OUTPUT: f64 = 10.0;
+        let weight = |s: Size| (s.prompt + OUTPUT * s.output).max(1.0);
+        let worth = FIXED + (1.0 - FIXED) * weight(size) / weight(self.usual);
+        let cost = self.cost(size).max(1.0) / self.cost(self.usual).max(1.0);
+        worth / cost
+    }
 }
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -27,6 +27,11 @@
 /// it many times a second.
 const PACE_EXPIRY: Millis = Millis(700);
 
+/// Time for which an upstream that says it is not the one asked for is left
+/// out, unless newer word on what it holds has come: after a restart under its
+/// old id, the registry still lists what it held before.
+const WRONG_REST: Millis = Millis(3_000);
+
 /// Bounds of a reported or observed pace.
 const PACE_RANGE: (f64, f64) = (0.5, 12.0);
 
@@ -143,6 +148,8 @@
     pace: (f64, Millis),
     slowness: (f64, Millis),
     recovery: Recovery,
+    /// When it last answered that it is not the one asked for.
+    wrong: Option<Millis>,
 }
 
 common! { key
@@ -156,6 +163,8 @@
     Failed,
     /// The connection was refused.
     Refused,
+    /// The upstream is another one, or does not hold what was asked for.
+    Wrong,
     /// The caller left, or the call was given up for another reason.
     Dropped,
 }
@@ -233,6 +242,9 @@
             .get(&member.id)
             .and_then(|k| self.targets.get_mut(*k))
         {
+            if target.entry != *member {
+                target.wrong = None;
+            }
             if target.entry.born != member.born || target.entry.addr != member.addr {
                 // Another incarnation owes nothing to what the earlier one did.
                 target.recovery = Recovery::default();
@@ -258,6 +270,7 @@
             pace: (1.0, Millis(0)),
             slowness: (1.0, Millis(0)),
             recovery: Recovery::default(),
+            wrong: None,
         });
         self.ids.insert(member.id.clone(), key);
         self.hashes.insert(hash, key);
@@ -428,6 +441,9 @@
         if !call.begun {
             target.own.unread = (target.own.unread - call.unread).max(0.0);
         }
+        if outcome == Outcome::Wrong {
+            target.wrong = Some(now);
+        }
         target.recovery.on_ended(now, outcome);
     }
 
@@ -498,10 +514,10 @@
             return false;
         }
         let Some(engine) = &self.engine else {
-            return true;
+            return !self.is_wrong(now);
         };
         let status = self.status(now);
-        if status.is_some_and(|s| s.busy) {
+        if status.is_some_and(|s| s.busy) || self.is_wrong(now) {
             return false;
         }
         let Some(model) = &want.model else {
@@ -512,6 +528,15 @@
         held.is_some_and(|version| version >= want.least)
     }
 
+    /// True while nothing newer than its own denial is known of it.
+    fn is_wrong(&self, now: Millis) -> bool {
+        let Some(at) = self.wrong else {
+            return false;
+        };
+        let is_newer = self.status(now).is_some_and(|s| s.at > at);
+        !is_newer && now.since(at) < WRONG_REST
+    }
+
     /// The agent's word, while it is fresh.
     fn status(&self, now: Millis) -> Option<&Status> {
         let status = self.status.as_ref()?;
