rollout: Go on with the older version while the newest is stuck

Cause: with the origin away between two named versions, agents spun on it and on its return all drew everything from it (12.2 copies, loads at 41 s instead of 30 s); the version before, nearly complete, was thrown away. Requests that waited in runners' queues began 5 times after the bound.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -70,6 +70,10 @@
 /// Idle connections kept to one upstream.
 const MAX_IDLE: usize = 24;
 
+/// Time before the end of a version at which requests that have not begun there
+/// are cancelled; the runner hears of it a few milliseconds later.
+const VERSION_MARGIN: Millis = Millis(150);
+
 /// Descriptors that are kept for files and listeners.
 const RESERVED: usize = 200;
 
@@ -168,6 +172,25 @@
         client.clone()
     }
 
+    /// Time for which a request may still begin at an upstream, in milliseconds:
+    /// a version that was replaced must not answer after its bound, however
+    /// long the request has waited in the runner's queue.
+    pub fn version_left(&self, now: Millis, target: Key<Target>, model: Option<&str>) -> f64 {
+        let Some(model) = model else {
+            return f64::INFINITY;
+        };
+        let held = self
+            .placer()
+            .get(target)
+            .and_then(|t| t.version(now, model));
+        let bound = self.node.settings().rollout;
+        let world = self.node.world();
+        let expiry = held.and_then(|version| world.versions.expiry(bound, model, version));
+        expiry.map_or(f64::INFINITY, |at| {
+            at.since(now).since(VERSION_MARGIN).0 as f64
+        })
+    }
+
     /// Name of an upstream, for the log.
     pub fn upstream(&self, target: Key<Target>) -> String {
         let placer = self.placer();
--- a/src/direct/fill.rs
+++ b/src/direct/fill.rs
@@ -69,9 +69,12 @@
 #[derive(Default)]
 struct Work {
     report: Option<(Millis, Report)>,
+    /// Pieces of the newest version whose digests are known.
     pieces: Option<Pieces>,
-    /// Pieces that were put on the stage.
-    staged: indexmap::IndexSet<u32>,
+    /// Pieces of the version before, which goes on while the newest is stuck.
+    older: Option<Pieces>,
+    /// Version that is being staged, and its pieces on the stage.
+    staged: (u64, indexmap::IndexSet<u32>),
     digests_at: Millis,
     wrong: u32,
     reload: Reload,
@@ -82,6 +85,36 @@
     looked: bool,
 }
 
+impl Work {
+    /// The version that is brought to the runner now.
+    fn target(&self, now: Millis) -> Option<&Pieces> {
+        let newest = self.pieces.as_ref()?;
+        match &self.older {
+            Some(older) if newest.is_stuck(now) => Some(older),
+            _ => Some(newest),
+        }
+    }
+
+    fn of(&self, version: u64) -> Option<&Pieces> {
+        let known = self.pieces.iter().chain(self.older.iter());
+        let mut known = known.filter(|p| p.digests().version == version);
+        known.next()
+    }
+
+    fn of_mut(&mut self, version: u64) -> Option<&mut Pieces> {
+        let known = self.pieces.iter_mut().chain(self.older.iter_mut());
+        let mut known = known.filter(|p| p.digests().version == version);
+        known.next()
+    }
+
+    /// Begins to stage `version` unless that is under way.
+    fn stage(&mut self, version: u64) {
+        if self.staged.0 != version {
+            self.staged = (version, indexmap::IndexSet::new());
+        }
+    }
+}
+
 /// Fills one runner.
 pub struct Fill {
     node: Node,
@@ -162,11 +195,11 @@
     /// Version of which every piece can be given.
     pub fn complete(&self) -> u64 {
         let work = lock(&self.work);
-        match &work.pieces {
-            Some(pieces) if pieces.is_complete() => pieces.digests().version,
-            Some(_) => 0,
-            None => work.found.unwrap_or(0),
-        }
+        let known = work.pieces.iter().chain(work.older.iter());
+        let whole = known
+            .filter(|p| p.is_complete())
+            .map(|p| p.digests().version);
+        whole.max().or(work.found).unwrap_or(0)
     }
 
     /// Notes what another agent can give.
@@ -227,15 +260,12 @@
         let index = pulled.index;
         let accepted = {
             let mut work = lock(&self.work);
-            let Some(pieces) = &mut work.pieces else {
+            let Some(pieces) = work.of_mut(pulled.version) else {
                 return;
             };
-            if pieces.digests().version != pulled.version {
-                return;
-            }
             match pulled.bytes {
                 Ok(bytes) if pieces.matches(index, &bytes) => {
-                    pieces.insert(index, bytes.clone());
+                    pieces.insert(now, index, bytes.clone());
                     if pieces.is_complete() {
                         info!(self.node.journal().log(), "rollout: version complete";
                             "version" => pulled.version, "took_ms" => pieces.took(now).0);
@@ -260,7 +290,14 @@
         match accepted {
             Ok(bytes) => {
                 self.arrived.notify(usize::MAX);
-                self.put(index, bytes).await;
+                let is_target = {
+                    let work = lock(&self.work);
+                    let target = work.target(now).map(|p| p.digests().version);
+                    target == Some(pulled.version) && work.staged.0 == pulled.version
+                };
+                if is_target {
+                    self.put(index, bytes).await;
+                }
             }
             Err(error) => {
                 if self.node.journal().admits(now, Kind::Weights) {
@@ -278,7 +315,7 @@
         };
         match self.runner.stage(&model, index, bytes).await {
             Ok(()) => {
-                lock(&self.work).staged.insert(index);
+                lock(&self.work).staged.1.insert(index);
             }
             Err(error) => {
                 info!(self.node.journal().log(), "load: piece was not staged"; "piece" => index, &error);
@@ -308,17 +345,29 @@
             self.look(&model, wanted).await;
             return;
         }
-        if !self.want(now, &model, wanted).await {
-            return;
-        }
+        // Without the digests of the newest version, the one before goes on.
+        self.want(now, &model, wanted).await;
         self.pull(now, sender);
+        let Some(target) = self.begin_stage(now) else {
+            return;
+        };
         self.restage().await;
         let state = State {
             held,
             busy: report.busy,
             calls: report.running + report.queued,
         };
-        self.order(&model, wanted, seen, &state, &report).await;
+        if held.is_none_or(|version| version < target) {
+            self.order(&model, target, seen, &state, &report).await;
+        }
+    }
+
+    /// Makes sure that the stage is for the version to bring to the runner.
+    fn begin_stage(&self, now: Millis) -> Option<u64> {
+        let mut work = lock(&self.work);
+        let target = work.target(now)?.digests().version;
+        work.stage(target);
+        Some(target)
     }
 
     /// Looks once whether the stage holds the version that the runner holds.
@@ -355,32 +404,28 @@
     }
 
     /// Makes sure that the digests of the wanted version are known.
-    async fn want(&self, now: Millis, model: &str, version: u64) -> bool {
+    async fn want(&self, now: Millis, model: &str, version: u64) {
         {
             let mut work = lock(&self.work);
             let known = work.pieces.as_ref().map(|p| p.digests().version);
             let doubted = work.wrong >= MAX_WRONG;
-            if known == Some(version) && !doubted {
-                return true;
-            }
-            if now.since(work.digests_at) < DIGESTS_RETRY {
-                return false;
+            let is_known = known == Some(version) && !doubted;
+            if is_known || now.since(work.digests_at) < DIGESTS_RETRY {
+                return;
             }
             work.digests_at = now;
         }
         let Some((origin, _)) = self.origin() else {
-            return false;
+            return;
         };
         match origin.digests(model, version).await {
             Ok(digests) => {
                 info!(self.node.journal().log(), "rollout: version wanted";
                     "model" => model, "version" => version, "pieces" => digests.pieces.len());
                 self.begin(digests).await;
-                true
             }
             Err(error) => {
                 info!(self.node.journal().log(), "rollout: digests cannot be read"; "version" => version, &error);
-                false
             }
         }
     }
@@ -388,7 +433,9 @@
     /// Begins with a version: what lies on the stage and is right is kept.
     async fn begin(&self, digests: Digests) {
         let model = digests.model.clone();
-        let mut pieces = Pieces::new(digests, self.node.now());
+        let now = self.node.now();
+        let version = digests.version;
+        let mut pieces = Pieces::new(digests, now);
         let mut staged = indexmap::IndexSet::new();
         let listed = self.runner.staged(&model).await.unwrap_or_default();
         let was_loaded = lock(&self.work).found.is_some();
@@ -397,14 +444,19 @@
         let listed = if was_loaded { Vec::new() } else { listed };
         for index in listed {
             if let Ok(Some(bytes)) = self.runner.read_staged(&model, index).await
-                && pieces.insert(index, bytes)
+                && pieces.insert(now, index, bytes)
             {
                 staged.insert(index);
             }
         }
         let mut work = lock(&self.work);
-        work.pieces = Some(pieces);
-        work.staged = staged;
+        let before = work.pieces.replace(pieces);
+        work.older = before.filter(|p| p.digests().version != version);
+        if !staged.is_empty() {
+            work.staged = (version, staged);
+        } else if work.older.is_none() {
+            work.staged = (version, indexmap::IndexSet::new());
+        }
         work.wrong = 0;
         work.found = None;
     }
@@ -434,20 +486,29 @@
     }
 
     fn pull(&self, now: Millis, sender: &Sender<Pulled>) {
-        let version = match &lock(&self.work).pieces {
-            Some(pieces) => pieces.digests().version,
-            None => return,
+        let versions: Vec<u64> = {
+            let work = lock(&self.work);
+            let newest = work.pieces.as_ref();
+            let is_stuck = newest.is_some_and(|p| p.is_stuck(now));
+            let older = work.older.as_ref().filter(|_| is_stuck);
+            newest
+                .into_iter()
+                .chain(older)
+                .map(|p| p.digests().version)
+                .collect()
         };
-        let group = self.group(now, version);
-        let (pulls, model) = {
-            let mut work = lock(&self.work);
-            let Some(pieces) = &mut work.pieces else {
-                return;
+        for version in versions {
+            let group = self.group(now, version);
+            let (pulls, model) = {
+                let mut work = lock(&self.work);
+                let Some(pieces) = work.of_mut(version) else {
+                    continue;
+                };
+                (pieces.next(now, &group), pieces.digests().model.clone())
             };
-            (pieces.next(now, &group), pieces.digests().model.clone())
-        };
-        for pull in pulls {
-            self.start(pull, &model, version, sender.clone());
+            for pull in pulls {
+                self.start(pull, &model, version, sender.clone());
+            }
         }
     }
 
@@ -488,11 +549,11 @@
     async fn restage(&self) {
         let missing: Vec<(u32, Bytes)> = {
             let work = lock(&self.work);
-            let Some(pieces) = &work.pieces else {
+            let Some(pieces) = work.of(work.staged.0) else {
                 return;
             };
             let count = pieces.digests().pieces.len() as u32;
-            let unstaged = (0..count).filter(|i| !work.staged.contains(i));
+            let unstaged = (0..count).filter(|i| !work.staged.1.contains(i));
             unstaged
                 .filter_map(|i| pieces.get(i).map(|b| (i, b.clone())))
                 .collect()
@@ -505,8 +566,9 @@
     async fn order(&self, model: &str, wanted: u64, seen: Millis, state: &State, report: &Report) {
         let is_staged = {
             let work = lock(&self.work);
-            let pieces = work.pieces.as_ref();
-            pieces.is_some_and(|p| p.is_complete() && work.staged.len() == p.digests().pieces.len())
+            let (version, staged) = &work.staged;
+            let pieces = work.of(*version).filter(|_| *version == wanted);
+            pieces.is_some_and(|p| p.is_complete() && staged.len() == p.digests().pieces.len())
         };
         if !is_staged {
             return;
@@ -560,9 +622,12 @@
 
     /// Reads every staged piece back and mends those that turned bad.
     async fn check_stage(&self, model: &str) -> bool {
-        let count = match &lock(&self.work).pieces {
-            Some(pieces) => pieces.digests().pieces.len() as u32,
-            None => return false,
+        let (version, count) = {
+            let work = lock(&self.work);
+            match work.of(work.staged.0) {
+                Some(pieces) => (work.staged.0, pieces.digests().pieces.len() as u32),
+                None => return false,
+            }
         };
         let mut good = true;
         for index in 0..count {
@@ -575,7 +640,7 @@
             };
             let mended = {
                 let work = lock(&self.work);
-                let Some(pieces) = &work.pieces else {
+                let Some(pieces) = work.of(version).filter(|_| work.staged.0 == version) else {
                     return false;
                 };
                 if pieces.matches(index, &bytes) {
@@ -586,7 +651,7 @@
             };
             if let Some(bytes) = mended {
                 info!(self.node.journal().log(), "load: staged piece had turned bad"; "piece" => index);
-                lock(&self.work).staged.swap_remove(&index);
+                lock(&self.work).staged.1.swap_remove(&index);
                 self.put(index, bytes).await;
                 // Read back once more before the order.
                 good = false;
@@ -628,9 +693,7 @@
     }
 
     fn held(&self, version: u64, index: u32) -> Option<Bytes> {
-        let work = lock(&self.work);
-        let pieces = work.pieces.as_ref()?;
-        (pieces.digests().version == version).then(|| pieces.get(index).cloned())?
+        lock(&self.work).of(version)?.get(index).cloned()
     }
 
     /// A piece of the version that lies on the stage; the receiver checks it.
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -258,6 +258,7 @@
     } else {
         left
     };
+    let limit = limit.min(entry.version_left(now, target, job.want.model.as_deref()));
     let exchange = exchange(entry, job, &client, request, target, &mut flight);
     let overdue = async {
         smol::Timer::after(Duration::from_millis(limit as u64)).await;
--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -14,9 +14,15 @@
 /// Time after which a piece is asked of any holder, also in other zones.
 const TREE_TIMEOUT: Millis = Millis(1_500);
 
-/// Time after which a piece is asked of the origin, whoever should give it:
-/// a whole rollout over the tree takes about three seconds.
-const ORIGIN_TIMEOUT: Millis = Millis(4_000);
+/// Time without any new piece after which missing ones are asked of the origin
+/// too, whoever should give them.
+///
+/// Counted from the last piece and not from the start: after an outage of the
+/// origin, all agents would otherwise draw everything from it at once.
+const STALL_TIMEOUT: Millis = Millis(3_000);
+
+/// Time without a new piece after which an older version goes on meanwhile.
+const STUCK: Millis = Millis(1_000);
 
 /// Pulls in progress at once. A pull waits at its source until the source has
 /// the piece, so most of them cost nothing.
@@ -28,9 +34,16 @@
 /// Pulls in progress at the origin, whose link all agents share.
 const MAX_AT_ORIGIN: usize = 2;
 
-/// Time for which a source that failed is not asked again.
+/// Time for which an agent that failed is not asked again.
 const SOURCE_PAUSE: Millis = Millis(1_000);
 
+/// Time for which the origin is not asked again after a failure; nobody else
+/// has what it has.
+const ORIGIN_PAUSE: Millis = Millis(200);
+
+/// Name of the origin among the paused sources; no VM has an empty name.
+const ORIGIN: &str = "";
+
 common! { value
 /// Digests of all pieces of a version.
 pub struct Digests {
@@ -132,6 +145,8 @@
     /// Sources that failed, with the end of their pause.
     paused: IndexMap<String, Millis>,
     since: Millis,
+    /// When the last piece came.
+    progress: Millis,
 }
 
 impl Pieces {
@@ -144,6 +159,7 @@
             pulls: IndexMap::new(),
             paused: IndexMap::new(),
             since: now,
+            progress: now,
         }
     }
 
@@ -167,6 +183,11 @@
         now.since(self.since)
     }
 
+    /// True while pieces are missing and none has come for some time.
+    pub fn is_stuck(&self, now: Millis) -> bool {
+        !self.is_complete() && now.since(self.progress) >= STUCK
+    }
+
     /// A piece that is held.
     pub fn get(&self, index: u32) -> Option<&Bytes> {
         self.held.get(index as usize)?.as_ref()
@@ -181,12 +202,13 @@
     }
 
     /// Takes a piece; false when its content is wrong.
-    pub fn insert(&mut self, index: u32, bytes: Bytes) -> bool {
+    pub fn insert(&mut self, now: Millis, index: u32, bytes: Bytes) -> bool {
         self.pulls.swap_remove(&index);
         if !self.matches(index, &bytes) {
             return false;
         }
         self.held[index as usize] = Some(bytes);
+        self.progress = now;
         true
     }
 
@@ -197,8 +219,15 @@
 
     /// Counts a pull whose source failed or gave the wrong bytes.
     pub fn failed(&mut self, now: Millis, index: u32) {
-        if let Some((Source::Agent(name), _)) = self.pulls.swap_remove(&index) {
-            self.paused.insert(name, now.plus(SOURCE_PAUSE));
+        match self.pulls.swap_remove(&index) {
+            Some((Source::Agent(name), _)) => {
+                self.paused.insert(name, now.plus(SOURCE_PAUSE));
+            }
+            Some((Source::Origin, _)) => {
+                self.paused
+                    .insert(ORIGIN.to_string(), now.plus(ORIGIN_PAUSE));
+            }
+            None => {}
         }
     }
 
@@ -222,6 +251,9 @@
             if self.pulls.len() >= MAX_PULLS {
                 break;
             }
+            if source == Source::Origin && self.paused.contains_key(ORIGIN) {
+                continue;
+            }
             let asked = self.pulls.values().filter(|(s, _)| *s == source).count();
             if asked >= self.most(&source) {
                 continue;
@@ -257,7 +289,7 @@
         {
             return Source::Agent(holder.name.clone());
         }
-        if waited >= ORIGIN_TIMEOUT {
+        if now.since(self.progress) >= STALL_TIMEOUT {
             return match near {
                 Some(holder) => Source::Agent(holder.name.clone()),
                 None => Source::Origin,
