--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -62,7 +62,10 @@
 const PAUSE_SHARE: f64 = 0.8;
 
 /// Part of the places that must be free for a request that will be late.
-const SPARE_SHARE: f64 = 0.3;
+const SPARE_SHARE: f64 = 0.2;
+
+/// Part of an upstream's own places that must be free for such a request.
+const ROOM_SHARE: f64 = 0.1;
 
 /// Predictions within this ratio of the best are of upstreams in a like state.
 const COMPARABLE: f64 = 2.0;
@@ -618,7 +621,7 @@
     /// True when enough places are free for a request that will be late.
     fn is_spare(&self, now: Millis) -> bool {
         let slots = f64::from(self.entry.slots);
-        self.room(now) >= (SPARE_SHARE * slots).max(1.0)
+        self.room(now) >= (ROOM_SHARE * slots).max(1.0)
     }
 
     fn pace(&self, now: Millis) -> f64 {
