direct: Log each request that is refused, fails or is left

Cause: refusals by admission and failed sends wrote no line, so their cause could not be found from the logs. Change: one line each, within the bound of its kind.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -310,6 +310,18 @@
         }
     }
 
+    /// Notes a caller that left in the middle of a stream.
+    pub fn left(&self, job: &Job, last: Option<u64>) {
+        let now = self.node.now();
+        let metrics = self.node.metrics();
+        metrics.outcome(Metric::RequestTotal, Some(Code::Cancelled));
+        if self.node.journal().admits(now, Kind::Left) {
+            info!(self.node.journal().log(), "route: caller left its stream";
+                "request" => &job.call.id, "route" => &job.route.name, "after" => last,
+                "age_ms" => now.since(job.arrived).0);
+        }
+    }
+
     /// Notes a request that ended in a failure of our own.
     pub fn failed(&self, job: &Job, tried: &Tried, error: &Error) {
         let now = self.node.now();
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -33,7 +33,7 @@
 pub fn body(entry: Arc<Entry>, job: Job, tried: Tried, source: Source) -> BoxBody {
     let stream = async_stream::stream! {
         let began = entry.node.now();
-        let mut relay = Relay { entry, job, tried, last: None, began, passed: began, pause: Millis(0) };
+        let mut relay = Relay { entry, job, tried, last: None, began, passed: began, pause: Millis(0), over: false };
         let mut source = source;
         loop {
             for event in std::mem::take(&mut source.events) {
@@ -78,6 +78,16 @@
     passed: Millis,
     /// Longest pause between two events.
     pause: Millis,
+    /// True once the stream has ended, whole or not.
+    over: bool,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.over {
+            self.entry.left(&self.job, self.last);
+        }
+    }
 }
 
 impl Relay {
@@ -181,7 +191,8 @@
         }
     }
 
-    fn ended(&self, mut source: Source) {
+    fn ended(&mut self, mut source: Source) {
+        self.over = true;
         source.flight.outcome(Outcome::Done);
         if let Some((client, kept)) = source.kept.take() {
             client.give_back(kept);
@@ -191,7 +202,8 @@
             .streamed(&self.job, &self.tried, first, self.pause);
     }
 
-    fn failed(&self, error: &Error) {
+    fn failed(&mut self, error: &Error) {
+        self.over = true;
         self.entry.failed(&self.job, &self.tried, error);
     }
 }
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -125,39 +125,63 @@
 /// Brings a request to an upstream and its answer back.
 pub async fn serve(entry: &Arc<Entry>, job: Job) -> Result<Response<BoxBody>> {
     let mut tried = Tried::default();
+    match send(entry, &job, &mut tried).await {
+        Ok(Served::Answer(answer)) => Ok(respond(entry, job, tried, answer)),
+        Ok(Served::Failure(response)) => {
+            entry.answered(&job, &tried, response.status());
+            Ok(response)
+        }
+        Err(error) => {
+            entry.failed(&job, &tried, &error);
+            Err(error)
+        }
+    }
+}
+
+/// What a caller gets of an upstream.
+enum Served {
+    /// An answer, whole or begun.
+    Answer(Answer),
+    /// The failure of the last upstream that ran the request.
+    Failure(Response<BoxBody>),
+}
+
+async fn send(entry: &Arc<Entry>, job: &Job, tried: &mut Tried) -> Result<Served> {
     let mut failure = None;
     loop {
-        let (target, first) = match choose(entry, &job, &mut tried) {
+        let (target, first) = match choose(entry, job, tried) {
             Ok(chosen) => chosen,
             // What the last upstream said is better than an error of our own.
-            Err(error) => return failure.ok_or(error),
+            Err(error) => return failure.map(Served::Failure).ok_or(error),
         };
         let last = job.call.last_event;
-        match attempt(entry, &job, &mut tried, target, first, last).await {
-            Brought::Answer(answer) => return Ok(respond(entry, job, tried, answer)),
+        let is_final =
+            |tried: &Tried| !job.route.repeat.allows() || tried.runs >= job.route.attempts.max(1);
+        match attempt(entry, job, tried, target, first, last).await {
+            Brought::Answer(answer) => return Ok(Served::Answer(answer)),
             Brought::NotRun { busy } => {
                 let reason = if busy {
                     "no room"
                 } else {
                     "not the one expected"
                 };
-                repeat_line(entry, &job, &tried, target, reason);
+                repeat_line(entry, job, tried, target, reason);
             }
             Brought::Failure(response) => {
                 tried.runs += 1;
-                if !job.route.repeat.allows() || tried.runs >= job.route.attempts.max(1) {
-                    return Ok(response);
+                if is_final(tried) {
+                    return Ok(Served::Failure(response));
                 }
-                repeat_line(entry, &job, &tried, target, "upstream failed");
+                repeat_line(entry, job, tried, target, "upstream failed");
                 failure = Some(response);
             }
-            Brought::Unsent(error) => repeat_line(entry, &job, &tried, target, &error.detail),
+            Brought::Unsent(error) => repeat_line(entry, job, tried, target, &error.detail),
             Brought::Open(error) => {
                 tried.runs += 1;
-                if !job.route.repeat.allows() || tried.runs >= job.route.attempts.max(1) {
+                if is_final(tried) {
                     return Err(error.with_run(Run::Unknown));
                 }
-                repeat_line(entry, &job, &tried, target, &error.detail);
+                repeat_line(entry, job, tried, target, &error.detail);
             }
         }
         tried.targets.push(target);
