--- a/src/direct/fill.rs
+++ b/src/direct/fill.rs
@@ -281,7 +281,7 @@
                     Err(Error::new(Code::ChunkCorrupt, "digest differs"))
                 }
                 Err(error) if error.code == Code::ChunkMissing => {
-                    pieces.absent(index);
+                    pieces.absent(now, index);
                     return;
                 }
                 Err(error) => {
@@ -471,14 +471,15 @@
         let origin = self.origin().map_or_else(String::new, |(_, zone)| zone);
         let holders = lock(&self.holders);
         let peers = self.node.peers();
-        let others = peers.with_role(Role::Agent).map(|peer| {
-            let held = holders.get(&peer.name);
-            let fresh = held.filter(|(_, at)| now.since(*at) < EXPIRY);
-            Holder {
+        // An agent whose runner does not answer tells no status; it pulls
+        // nothing and must not stand in the tree.
+        let others = peers.with_role(Role::Agent).filter_map(|peer| {
+            let (complete, at) = holders.get(&peer.name)?;
+            (now.since(*at) < EXPIRY).then(|| Holder {
                 name: peer.name.clone(),
                 zone: peer.zone.clone(),
-                complete: fresh.is_some_and(|(complete, _)| *complete == version),
-            }
+                complete: *complete == version,
+            })
         });
         Group {
             own: settings.name.clone(),
--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -41,6 +41,9 @@
 /// has what it has.
 const ORIGIN_PAUSE: Millis = Millis(200);
 
+/// Pulls of a piece that may find their source without it.
+const MAX_ABSENT: u32 = 2;
+
 /// Name of the origin among the paused sources; no VM has an empty name.
 const ORIGIN: &str = "";
 
@@ -144,6 +147,8 @@
     pulls: IndexMap<u32, (Source, Millis)>,
     /// Sources that failed, with the end of their pause.
     paused: IndexMap<String, Millis>,
+    /// Pulls that found their source without the piece.
+    absents: IndexMap<u32, u32>,
     since: Millis,
     /// When the last piece came.
     progress: Millis,
@@ -158,6 +163,7 @@
             held: vec![None; count],
             pulls: IndexMap::new(),
             paused: IndexMap::new(),
+            absents: IndexMap::new(),
             since: now,
             progress: now,
         }
@@ -213,8 +219,20 @@
     }
 
     /// Counts a pull whose source does not have the piece yet.
-    pub fn absent(&mut self, index: u32) {
-        self.pulls.swap_remove(&index);
+    ///
+    /// A source that still lacks it at the second time may never get it, so
+    /// its place in the tree is left out for a while.
+    pub fn absent(&mut self, now: Millis, index: u32) {
+        let source = self.pulls.swap_remove(&index).map(|(source, _)| source);
+        let count = self.absents.entry(index).or_insert(0);
+        *count += 1;
+        if *count < MAX_ABSENT {
+            return;
+        }
+        *count = 0;
+        if let Some(Source::Agent(name)) = source {
+            self.paused.insert(name, now.plus(SOURCE_PAUSE));
+        }
     }
 
     /// Counts a pull whose source failed or gave the wrong bytes.
--- a/tests/pieces_tree.rs
+++ b/tests/pieces_tree.rs
@@ -32,6 +32,8 @@
     /// Pulls in progress: end, agent, piece, source.
     pulls: Vec<(u64, usize, u32, Source)>,
     drawn: u32,
+    /// Agents that answer and never pull.
+    idle: Vec<usize>,
 }
 
 impl Fleet {
@@ -45,6 +47,7 @@
             names,
             pulls: Vec::new(),
             drawn: 0,
+            idle: Vec::new(),
         }
     }
 
@@ -74,7 +77,7 @@
                 self.end(now, agent, index, &source, dead, &away);
             }
             for agent in 0..self.names.len() {
-                if dead.contains(&agent) {
+                if dead.contains(&agent) || self.idle.contains(&agent) {
                     continue;
                 }
                 let group = self.group(agent);
@@ -83,7 +86,8 @@
                         .push((now + TRANSFER, agent, pull.index, pull.source));
                 }
             }
-            let alive = (0..self.names.len()).filter(|i| !dead.contains(i));
+            let alive =
+                (0..self.names.len()).filter(|i| !dead.contains(i) && !self.idle.contains(i));
             if alive.into_iter().all(|i| self.pieces[i].is_complete()) {
                 return Some(now);
             }
@@ -115,7 +119,7 @@
                 } else if let Some(bytes) = self.pieces[from].get(index).cloned() {
                     assert!(self.pieces[agent].insert(at, index, bytes));
                 } else {
-                    self.pieces[agent].absent(index);
+                    self.pieces[agent].absent(at, index);
                 }
             }
         }
@@ -149,6 +153,16 @@
     assert!(took.is_some_and(|ms| ms < 20_000), "{took:?}");
 }
 
+/// Guards against waiting for agents that answer and never get a piece, as
+/// their runners are down: an incident took 22 s for one version.
+#[test]
+fn idle_agents_are_passed_over() {
+    let mut fleet = Fleet::new(3, 5);
+    fleet.idle = vec![1, 4];
+    let took = fleet.play(&[], 0..0);
+    assert!(took.is_some_and(|ms| ms < 6_000), "{took:?}");
+}
+
 /// Guards against a piece with other content than its digest being held.
 #[test]
 fn wrong_content_is_refused() {
