--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -41,12 +41,18 @@
 /// Largest datagram read.
 const MAX_DATAGRAM: usize = 60 << 10;
 
+/// Adds a daemon's part to a datagram.
+type Fill = Box<dyn Fn(Millis, &mut Datagram) + Send + Sync>;
+
+/// Takes a datagram of another process.
+type Take = Box<dyn Fn(Millis, &Datagram) + Send + Sync>;
+
 /// What a daemon adds to its datagrams and takes from those of others.
 pub struct Parts {
     /// Adds the sender's loads, status and suspects.
-    pub fill: Box<dyn Fn(Millis, &mut Datagram) + Send + Sync>,
+    pub fill: Fill,
     /// Takes a datagram of another process.
-    pub take: Box<dyn Fn(Millis, &Datagram) + Send + Sync>,
+    pub take: Take,
 }
 
 #[derive(Default)]
--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -264,7 +264,7 @@
             let leads = group.head(&group.zone, &key, &|_| true) == Some(group.own.as_str());
             wanted.push((!leads, rank::weight(&key, &group.own), index, source));
         }
-        wanted.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        wanted.sort_by_key(|wanted| (wanted.0, wanted.1));
         for (_, _, index, source) in wanted {
             if self.pulls.len() >= MAX_PULLS {
                 break;
