--- a/src/cmd/bench/place.rs
+++ b/src/cmd/bench/place.rs
@@ -9,10 +9,12 @@
 use crate::bench::place::load::Pattern;
 
 /// Worth earned by each policy under load patterns; one JSON object a line.
-///
-/// Example: chervilquay bench place --load steady-1.5 --seed 1
 #[derive(FromArgs)]
-#[argh(subcommand, name = "place")]
+#[argh(
+    subcommand,
+    name = "place",
+    example = "{command_name} --load steady-1.5 --seed 1"
+)]
 pub struct Args {
     /// load pattern; all of them when none is named
     #[argh(option)]
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -9,10 +9,12 @@
 use crate::report::trace;
 
 /// Lines of one request in the order of their time, and what ended it.
-///
-/// Example: chervilquay trace 9c41d07be2a35f68 front-a-1.log front-a-2.log
 #[derive(FromArgs)]
-#[argh(subcommand, name = "trace")]
+#[argh(
+    subcommand,
+    name = "trace",
+    example = "{command_name} 9c41d07be2a35f68 front-a-1.log front-a-2.log"
+)]
 pub struct Args {
     /// id of the request
     #[argh(positional)]
