tests: Let sources hold pulls as agents do

Cause: the test's sources answered 'not yet' at once, while an agent holds a pull for a second; two such answers now leave a source out, so the test drew 581 pieces instead of 48. The bounds are unchanged.

--- a/tests/pieces_tree.rs
+++ b/tests/pieces_tree.rs
@@ -11,9 +11,12 @@
 
 const COUNT: u32 = 48;
 
-/// Time of one transfer, and of a pull that its source cannot answer yet.
+/// Time of one transfer.
 const TRANSFER: u64 = 50;
 
+/// Time for which a source holds a pull until it has the piece.
+const HOLD: u64 = 1_000;
+
 fn content(index: u32) -> Bytes {
     Bytes::from(format!("piece {index}"))
 }
@@ -29,8 +32,8 @@
 struct Fleet {
     names: Vec<(String, String)>,
     pieces: Vec<Pieces>,
-    /// Pulls in progress: end, agent, piece, source.
-    pulls: Vec<(u64, usize, u32, Source)>,
+    /// Pulls in progress: start, end, agent, piece, source.
+    pulls: Vec<(u64, u64, usize, u32, Source)>,
     drawn: u32,
     /// Agents that answer and never pull.
     idle: Vec<usize>,
@@ -70,11 +73,15 @@
     /// Plays until all agents that live are complete; the result is the time.
     fn play(&mut self, dead: &[usize], away: std::ops::Range<u64>) -> Option<u64> {
         for now in (0..60_000).step_by(10) {
-            let (ended, open) = self.pulls.drain(..).partition(|(end, ..)| *end <= now);
+            let (ended, open): (Vec<_>, Vec<_>) =
+                self.pulls.drain(..).partition(|(_, end, ..)| *end <= now);
             self.pulls = open;
-            let ended: Vec<(u64, usize, u32, Source)> = ended;
-            for (_, agent, index, source) in ended {
-                self.end(now, agent, index, &source, dead, &away);
+            for (start, _, agent, index, source) in ended {
+                if self.is_held(now, start, index, &source, dead) {
+                    self.pulls.push((start, now + 10, agent, index, source));
+                } else {
+                    self.end(now, agent, index, &source, dead, &away);
+                }
             }
             for agent in 0..self.names.len() {
                 if dead.contains(&agent) || self.idle.contains(&agent) {
@@ -82,8 +89,8 @@
                 }
                 let group = self.group(agent);
                 for pull in self.pieces[agent].next(Millis(now), &group) {
-                    self.pulls
-                        .push((now + TRANSFER, agent, pull.index, pull.source));
+                    let end = now + TRANSFER;
+                    self.pulls.push((now, end, agent, pull.index, pull.source));
                 }
             }
             let alive =
@@ -95,6 +102,17 @@
         None
     }
 
+    /// True while a living source still waits for the piece.
+    fn is_held(&self, now: u64, start: u64, index: u32, source: &Source, dead: &[usize]) -> bool {
+        let Source::Agent(name) = source else {
+            return false;
+        };
+        let from = self.names.iter().position(|(n, _)| n == name);
+        let from = from.expect("a known agent");
+        let lacks = self.pieces[from].get(index).is_none();
+        lacks && !dead.contains(&from) && now < start + HOLD
+    }
+
     fn end(
         &mut self,
         now: u64,
