--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -38,7 +38,7 @@
 use crate::net::server::Limits;
 use crate::node::Node;
 use crate::node::admin;
-use crate::node::platform;
+use crate::node::config_service;
 use crate::once::Secret;
 use crate::prelude::*;
 use crate::proto::agent_server::AgentServer;
@@ -136,7 +136,7 @@
         let rpc = server::bind(self.node.settings.rpc)?;
         let admin = server::bind(self.node.settings.admin)?;
         let (closer, closed) = channel::bounded::<()>(1);
-        let watch = rt::spawn(platform::watch(self.node.clone()));
+        let watch = rt::spawn(config_service::watch(self.node.clone()));
         let keep = rt::spawn(load::keep(self.clone()));
         let fetch = rt::spawn(self.weights.clone().run());
         let tick = rt::spawn(guard::keep(self.clone()));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use crate::net::server::Limits;
 use crate::node::Node;
 use crate::node::admin;
-use crate::node::platform;
+use crate::node::config_service;
 use crate::once::Secret;
 use crate::prelude::*;
 use crate::proto::peer_server::PeerServer;
@@ -72,7 +72,7 @@
         let rpc = server::bind(self.node.settings.rpc)?;
         let admin = server::bind(self.node.settings.admin)?;
         let (closer, closed) = channel::bounded::<()>(1);
-        let watch = rt::spawn(platform::watch(self.node.clone()));
+        let watch = rt::spawn(config_service::watch(self.node.clone()));
         let systems = rt::spawn(self.pools.clone().run());
         let rpc_task = rt::spawn(self.clone().serve_rpc(rpc, closed.clone()));
         let admin_task = rt::spawn(self.clone().serve_admin(admin, closed));
--- a/src/node/platform.rs
+++ b/src/node/config_service.rs
@@ -21,15 +21,15 @@
 
 /// Clients of the service's addresses, tried in order.
 #[derive(Debug)]
-pub struct Platform {
+pub struct ConfigService {
     clients: Vec<Client>,
     turn: AtomicUsize,
 }
 
-impl Platform {
+impl ConfigService {
     /// Clients of these addresses; nothing is connected yet.
-    pub fn new(addrs: &[SocketAddr]) -> Platform {
-        Platform {
+    pub fn new(addrs: &[SocketAddr]) -> ConfigService {
+        ConfigService {
             clients: addrs.iter().copied().map(Client::new).collect(),
             turn: AtomicUsize::new(0),
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,8 +1,8 @@
 //! What both daemons share: tables in force, the platform, peers, the admin server.
 
 pub mod admin;
+pub mod config_service;
 pub mod peer;
-pub mod platform;
 pub mod signal;
 pub mod suspects;
 pub mod tables;
--- a/src/node/tables.rs
+++ b/src/node/tables.rs
@@ -16,7 +16,7 @@
 use crate::net::rpc::Channels;
 use crate::net::rt;
 use crate::node::Node;
-use crate::node::platform::Platform;
+use crate::node::config_service::ConfigService;
 use crate::node::traffic;
 use crate::node::traffic::Traffic;
 use crate::node::view::Offer;
@@ -71,7 +71,7 @@
     view: View,
     /// Connections to peers, apart from those that carry requests.
     channels: Channels,
-    platform: Platform,
+    platform: ConfigService,
     traffic: Traffic,
 }
 
@@ -105,7 +105,7 @@
                 log: log::component(&log, Component::Table),
                 view,
                 channels: Channels::default(),
-                platform: Platform::new(&settings.platform),
+                platform: ConfigService::new(&settings.platform),
                 traffic: Traffic::default(),
             }),
         }
