--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -218,8 +218,10 @@
 
     /// Time that a caller had lost before this attempt.
     ///
-    /// Callers count their time down over their attempts, so the longest time
-    /// seen on a route is that of a first attempt.
+    /// An upper bound only: callers count their time down over their attempts,
+    /// but first attempts differ in it too (4.6 s to 5.9 s were seen on one
+    /// route), so some of them are taken for repeated ones. docs/platform.md
+    /// lists this as a known fault.
     pub fn elapsed(&self, route: &Route, patience: Option<Millis>) -> Millis {
         let Some(patience) = patience else {
             return Millis(0);
