--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -53,6 +53,7 @@
 use crate::route::place::Want;
 use crate::table::routing::Route;
 use crate::util;
+use crate::util::lock;
 
 /// Time after SIGTERM in which the balancer may still send connections: it
 /// takes two misses, a second apart, until it stops.
@@ -99,10 +100,6 @@
     patience: Mutex<IndexMap<String, Millis>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 /// A call as the placement counts it; it ends when this is dropped.
 pub struct Flight {
     entry: Arc<Entry>,
--- a/src/direct/fill.rs
+++ b/src/direct/fill.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::time::Duration;
 
 use event_listener::Event;
@@ -40,6 +39,7 @@
 use crate::rollout::pieces::Source;
 use crate::rollout::reload::Reload;
 use crate::rollout::reload::State;
+use crate::util::lock;
 
 /// Path of the pieces on the internal port.
 pub const PATH: &str = "/piece";
@@ -137,10 +137,6 @@
     bytes: Result<Bytes>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 impl Fill {
     /// A filler of the runner at `addr`.
     pub fn new(node: Node, addr: SocketAddr) -> Fill {
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -18,6 +18,7 @@
 use crate::platform::settings::Settings;
 use crate::prelude::*;
 use crate::table::replica::Delta;
+use crate::util::lock;
 
 /// Called after the beliefs have changed.
 type Hook = Box<dyn Fn(Millis, &World) + Send + Sync>;
@@ -40,10 +41,6 @@
     stopping: AtomicBool,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(role: Role, settings: Settings, log: Logger) -> Node {
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,5 +1,8 @@
 //! Small helpers without a module of their own.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
 use sha2::Digest as _;
 use sha2::Sha256;
 
@@ -45,3 +48,8 @@
     hash = hash.wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
 }
+
+/// Locks a mutex, also after a panic elsewhere: the state is checked where it is used.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
