retry: Recognise returning requests by their fingerprint

Cause: an entry took the difference between a request's deadline and the longest seen on its route for time lost at earlier attempts. First attempts differ in their deadline by up to 1.3 s, so many fresh requests counted as late: last rank in the runner's queue, and only places that stay empty.

Ruled out: deadlines as evidence with a per-route spread (first attempts of one route overlap with repeated ones); dropping the estimate (attempts after a refusal were then placed as if their whole objective were left).

Change: entries remember the fingerprint of what they refused with the arrival of its first attempt and its caller's deadline, and tell the newest refusals in their datagrams. A repeated attempt has the same fingerprint and, within 200 ms, the same deadline. New module retry::repeats; the field repeated in the logs is now elapsed_ms.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -28,6 +28,7 @@
 use crate::direct::send::Tried;
 use crate::direct::wire::Datagram;
 use crate::direct::wire::LoadDoc;
+use crate::direct::wire::RefusedDoc;
 use crate::direct::wire::SuspectDoc;
 use crate::gate::Suspects;
 use crate::gate::Witness;
@@ -44,6 +45,8 @@
 use crate::once::Print;
 use crate::platform::headers;
 use crate::prelude::*;
+use crate::retry::Refused;
+use crate::retry::Repeats;
 use crate::retry::Window;
 use crate::route::place::Call;
 use crate::route::place::Outcome;
@@ -51,7 +54,6 @@
 use crate::route::place::Status;
 use crate::route::place::Target;
 use crate::route::place::Want;
-use crate::table::routing::Route;
 use crate::util;
 use crate::util::lock;
 
@@ -79,9 +81,6 @@
 /// Descriptors that are kept for files and listeners.
 const RESERVED: usize = 200;
 
-/// Routes whose longest patience is remembered.
-const MAX_ROUTES: usize = 4_096;
-
 /// Least part of its time that a caller waits after a refusal.
 const RETRY_SHARE: f64 = 1.0 / 3.0;
 
@@ -97,7 +96,7 @@
     suspects: Mutex<Suspects>,
     witness: Mutex<Witness>,
     clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
-    patience: Mutex<IndexMap<String, Millis>>,
+    repeats: Mutex<Repeats>,
 }
 
 /// A call as the placement counts it; it ends when this is dropped.
@@ -138,7 +137,7 @@
             suspects: Mutex::default(),
             witness: Mutex::default(),
             clients: Mutex::default(),
-            patience: Mutex::default(),
+            repeats: Mutex::default(),
             node,
         });
         let held = Arc::downgrade(&entry);
@@ -214,22 +213,25 @@
     }
 
     /// Time that a caller had lost before this attempt.
-    ///
-    /// An upper bound only: callers count their time down over their attempts,
-    /// but first attempts differ in it too (4.6 s to 5.9 s were seen on one
-    /// route), so some of them are taken for repeated ones. docs/platform.md
-    /// lists this as a known fault.
-    pub fn elapsed(&self, route: &Route, patience: Option<Millis>) -> Millis {
+    pub fn elapsed(&self, print: &Print, arrived: Millis, patience: Option<Millis>) -> Millis {
         let Some(patience) = patience else {
             return Millis(0);
         };
-        let mut longest = lock(&self.patience);
-        if longest.len() >= MAX_ROUTES {
-            longest.clear();
-        }
-        let held = longest.entry(route.name.clone()).or_insert(patience);
-        *held = (*held).max(patience);
-        held.since(patience)
+        let first = lock(&self.repeats).first(short(print), arrived.plus(patience));
+        first.map_or(Millis(0), |first| arrived.since(first))
+    }
+
+    /// Remembers a request that got no answer; its caller may come again.
+    fn may_return(&self, now: Millis, job: &Job) {
+        let Some(patience) = job.call.patience else {
+            return;
+        };
+        let refused = Refused {
+            print: short(&job.print),
+            first: job.arrived.since(job.elapsed),
+            deadline: job.arrived.plus(patience),
+        };
+        lock(&self.repeats).refused(now, refused);
     }
 
     /// Counts a request for the budget of repeated sends.
@@ -287,7 +289,7 @@
             info!(self.node.journal().log(), "route: request answered";
                 "request" => &job.call.id, "route" => &job.route.name, "status" => status.as_u16(),
                 "sends" => tried.sends, "age_ms" => now.since(job.arrived).0,
-                "repeated" => job.repeated);
+                "elapsed_ms" => job.elapsed.0);
         }
     }
 
@@ -324,6 +326,7 @@
     /// Notes a request that ended in a failure of our own.
     pub fn failed(&self, job: &Job, tried: &Tried, error: &Error) {
         let now = self.node.now();
+        self.may_return(now, job);
         let metrics = self.node.metrics();
         metrics.outcome(Metric::RequestTotal, Some(error.code));
         let is_refusal = tried.sends == 0;
@@ -338,7 +341,7 @@
                 "request" => &job.call.id, "route" => &job.route.name, "pool" => &job.want.pool,
                 "run" => error.run.as_str(), "sends" => tried.sends, "config" => version,
                 "age_ms" => now.since(job.arrived).0, "patience_ms" => job.want.patience,
-                "repeated" => job.repeated, error);
+                "elapsed_ms" => job.elapsed.0, error);
         }
     }
 
@@ -405,6 +408,15 @@
                 unread: unread as u32,
             })
             .collect();
+        let news = lock(&self.repeats).news(now);
+        datagram.refused = news
+            .into_iter()
+            .map(|r| RefusedDoc {
+                print: r.print,
+                age: now.since(r.first).0 as u32,
+                left: r.deadline.since(now).0 as u32,
+            })
+            .collect();
         let reports = lock(&self.suspects).export(now);
         datagram.suspects = reports
             .into_iter()
@@ -437,6 +449,16 @@
             };
             self.placer().on_status(&status.upstream, held);
         }
+        let mut repeats = lock(&self.repeats);
+        for refused in &datagram.refused {
+            let told = Refused {
+                print: refused.print,
+                first: now.since(Millis(u64::from(refused.age))),
+                deadline: now.plus(Millis(u64::from(refused.left))),
+            };
+            repeats.merge(now, told);
+        }
+        drop(repeats);
         let origin = util::stable_hash([datagram.name.as_str()]);
         let mut suspects = lock(&self.suspects);
         for suspect in &datagram.suspects {
@@ -612,6 +634,13 @@
     }
 }
 
+/// Part of a fingerprint that tells the few thousand requests of some seconds apart.
+fn short(print: &Print) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&print[..8]);
+    u64::from_be_bytes(bytes)
+}
+
 /// An answer without content.
 pub fn status_only(status: StatusCode) -> Response<BoxBody> {
     let mut response = Response::new(body::full(""));
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -23,9 +23,6 @@
 /// Time before the objective at which an answer should have left the entry.
 const OBJECTIVE_MARGIN_MS: f64 = 15.0;
 
-/// Time that a caller has lost already from which its request is a repeated one.
-const REPEATED: Millis = Millis(25);
-
 /// Time before the deadline at which an answer should have left the entry.
 const DEADLINE_MARGIN: Millis = Millis(30);
 
@@ -54,8 +51,8 @@
     pub want: Want,
     /// Fingerprint for the table of suspects.
     pub print: Print,
-    /// True when the caller has tried before.
-    pub repeated: bool,
+    /// Time that the caller had lost before, at attempts that were refused.
+    pub elapsed: Millis,
 }
 
 /// Checks and matches a request; reads its body whole.
@@ -85,7 +82,6 @@
         .uri
         .path_and_query()
         .map_or_else(|| "/".to_string(), |path| path.to_string());
-    let elapsed = entry.elapsed(&route, call.patience);
     let patience = call
         .patience
         .unwrap_or(route.timeout)
@@ -93,6 +89,7 @@
         .min(route.timeout.0);
     let owner = call.key.as_deref().unwrap_or_default();
     let print = suspect::print(owner, parts.method.as_str(), &target, &body);
+    let elapsed = entry.elapsed(&print, arrived, call.patience);
     let want = want(&routing, &route, &call, elapsed, patience)?;
     Ok(Job {
         want,
@@ -106,7 +103,7 @@
         body,
         arrived,
         deadline: arrived.plus(Millis(patience).since(DEADLINE_MARGIN)),
-        repeated: elapsed >= REPEATED,
+        elapsed,
     })
 }
 
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -46,6 +46,23 @@
     /// True when the sender's datagrams may be answered with one of one's own.
     #[prost(bool, tag = "12")]
     pub hello: bool,
+    /// Requests that an entry refused a moment ago.
+    #[prost(message, repeated, tag = "13")]
+    pub refused: Vec<RefusedDoc>,
+}
+
+/// A refused request, which may come again at another entry.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RefusedDoc {
+    /// Start of its fingerprint.
+    #[prost(fixed64, tag = "1")]
+    pub print: u64,
+    /// Time since its first attempt, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
+    /// Time until its caller gives up, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub left: u32,
 }
 
 /// Calls of an entry to one upstream.
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -2,12 +2,15 @@
 
 pub mod backoff;
 pub mod budget;
+pub mod repeats;
 pub mod window;
 
 use crate::error::Run;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
+pub use repeats::Refused;
+pub use repeats::Repeats;
 pub use window::Window;
 
 /// Share of requests that may be retried.
--- a/tests/direct_path.rs
+++ b/tests/direct_path.rs
@@ -232,3 +232,37 @@
         read_message(&mut stream).unwrap().status() == 401
     });
 }
+
+/// Guards against fresh requests that are ranked as late because an earlier
+/// one brought a longer deadline, and against a request that comes again after
+/// a refusal and is ranked as if no time were lost.
+#[test]
+fn only_returning_requests_lose_time() {
+    let world = world(13);
+    let with = |deadline: u64, body: &str| {
+        let text = request("GET", "/safe/1", "a", body);
+        text.replace("Deadline-Ms: 6000", &format!("Deadline-Ms: {deadline}"))
+    };
+    let rank = |message: &prepared::Message| -> u32 {
+        message
+            .header("x-request-urgency")
+            .unwrap()
+            .parse()
+            .unwrap()
+    };
+    world.send(&with(4_900, "one"));
+    world.send(&with(3_600, "two"));
+    let got = world.got();
+    assert_eq!(rank(&got[0]), rank(&got[1]));
+    let fresh = rank(&got[0]);
+    world.both(&[Act::NotRun, Act::NotRun]);
+    assert_eq!(world.send(&with(4_000, "three")).status(), 503);
+    thread::sleep(Duration::from_millis(600));
+    world.runner.clear();
+    world.other.clear();
+    let before = world.got().len();
+    world.send(&with(3_400, "three"));
+    let got = world.got();
+    assert!(got.len() > before);
+    assert!(got.iter().any(|m| m.text() == "three" && rank(m) > fresh));
+}
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -229,6 +229,11 @@
         self.acts.lock().unwrap().extend(acts);
     }
 
+    /// Answers whatever comes next.
+    pub fn clear(&self) {
+        self.acts.lock().unwrap().clear();
+    }
+
     /// Requests that it got.
     pub fn got(&self) -> Vec<Message> {
         self.got.lock().unwrap().clone()
