member, gossip: Two entries of a zone read the store; loads stay in the zone

Cause: on the grown sites every one of 45 entries kept its own waiting read, so that each change was answered 45 times, and each told its loads of all upstreams to all others four times a second.

Ruled out: one reader a zone (its loss would leave the zone stale for as long as its silence is noticed); readings that others rely on for ten seconds.

Change: member::watch decides who reads: the first two entries of a zone by name that are heard and sound; others take over within a second. Loads and refusals go to entries of the zone only, at most 200 datagrams a second; an upstream's load is the larger of what the zone tells and what its agent reports with what was sent since. A moved revision is told by readers, in the zone. Never read fields of the datagram are gone.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -47,7 +47,7 @@
         let (behind, token) = channel::bounded(1);
         let (filler, taker) = (self.clone(), self.clone());
         let parts = Parts {
-            fill: Box::new(move |now, datagram| filler.fill(now, datagram)),
+            fill: Box::new(move |now, datagram, _| filler.fill(now, datagram)),
             take: Box::new(move |now, datagram| taker.take(now, datagram)),
         };
         let gossip = Arc::new(Gossip::bind(self.node.clone(), parts, behind)?);
@@ -82,7 +82,6 @@
         let Some((at, report)) = self.fill.report() else {
             return;
         };
-        let model = self.fill.model().map(|(name, _)| name);
         datagram.status = Some(StatusDoc {
             upstream: self.fill.id().unwrap_or_default(),
             holdings: report.holdings.iter().map(HoldingDoc::new).collect(),
@@ -90,8 +89,6 @@
             calls: report.running + report.queued,
             pace: (report.pace * 100.0) as u32,
             age: now.since(at).0 as u32,
-            pool: self.node.settings().pool.clone(),
-            model: model.unwrap_or_default(),
             complete: self.fill.complete(),
             turn: self.fill.next_turn().map(|at| at.since(now).0 as u32),
         });
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -426,7 +426,26 @@
         world.routing().is_some() && !self.node.is_stopping()
     }
 
-    fn fill(&self, now: Millis, datagram: &mut Datagram) {
+    /// Adds what others need to know; loads and refusals only for the entries
+    /// of the zone, which share its callers and prefer its upstreams.
+    fn fill(&self, now: Millis, datagram: &mut Datagram, near: bool) {
+        if near {
+            self.fill_near(now, datagram);
+        }
+        let reports = lock(&self.suspects).export(now);
+        datagram.suspects = reports
+            .into_iter()
+            .take(16)
+            .map(|report| SuspectDoc {
+                print: report.print.to_vec(),
+                clears: report.clears,
+                crashes: report.crashes,
+                age: report.age.0,
+            })
+            .collect();
+    }
+
+    fn fill_near(&self, now: Millis, datagram: &mut Datagram) {
         let loads = self.placer().loads();
         datagram.loads = loads
             .into_iter()
@@ -445,21 +464,10 @@
                 left: r.deadline.since(now).0 as u32,
             })
             .collect();
-        let reports = lock(&self.suspects).export(now);
-        datagram.suspects = reports
-            .into_iter()
-            .take(16)
-            .map(|report| SuspectDoc {
-                print: report.print.to_vec(),
-                clears: report.clears,
-                crashes: report.crashes,
-                age: report.age.0,
-            })
-            .collect();
     }
 
     fn take(&self, now: Millis, datagram: &Datagram) {
-        if datagram.entry {
+        if datagram.entry && datagram.zone == self.node.settings().zone {
             let loads = datagram.loads.iter();
             let loads: Vec<_> = loads
                 .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
@@ -534,7 +542,7 @@
         let (behind, token) = channel::bounded(1);
         let (filler, taker) = (self.clone(), self.clone());
         let parts = Parts {
-            fill: Box::new(move |now, datagram| filler.fill(now, datagram)),
+            fill: Box::new(move |now, datagram, near| filler.fill(now, datagram, near)),
             take: Box::new(move |now, datagram| taker.take(now, datagram)),
         };
         let gossip = Arc::new(Gossip::bind(self.node.clone(), parts, behind)?);
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -12,6 +12,7 @@
 use crate::direct::node::Node;
 use crate::direct::wire::DeltaDoc;
 use crate::member::peers::Role;
+use crate::member::watch;
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
@@ -21,8 +22,15 @@
 use crate::prelude::*;
 use slog::info;
 
-/// Wait of one read; the store counts each call, so a long one is cheap.
-const WATCH_WAIT: Millis = Millis(10_000);
+/// Wait of one read: the store counts each call, and the others of the zone
+/// rely on a reader that hears nothing for as long.
+const WATCH_WAIT: Millis = Millis(4_000);
+
+/// Time after which a reading that brings no answer is not relied on.
+const WATCH_SOUND: Millis = Millis(4_600);
+
+/// Interval at which an entry looks whether it should read the store.
+const NEED_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Bounds of the wait after a failed call; many processes fail together.
 const RETRY_MS: (u64, u64) = (80, 800);
@@ -53,6 +61,11 @@
     let store = Store::new(node.settings().store);
     let mut failures = 0_u32;
     loop {
+        if !is_needed(&node) {
+            node.world().watch.failed();
+            smol::Timer::after(NEED_INTERVAL).await;
+            continue;
+        }
         let done = read(&node, &store).await;
         let code = done.as_ref().err().map(|error| error.code);
         node.metrics().outcome(Metric::StoreTotal, code);
@@ -77,6 +90,22 @@
     }
 }
 
+/// True when this entry should read the store: always before it knows anything.
+fn is_needed(node: &Node) -> bool {
+    let is_synced = node.world().replica.is_synced();
+    if !is_synced {
+        return true;
+    }
+    let settings = node.settings();
+    let peers = node.peers();
+    watch::is_needed(node.now(), &settings.name, &settings.zone, &peers)
+}
+
+/// True when others may rely on this process for news of the store.
+pub fn is_reader(node: &Node) -> bool {
+    node.world().watch.is_sound(node.now(), WATCH_SOUND)
+}
+
 /// Reads once; true when the store was away before.
 async fn read(node: &Node, store: &Store) -> Result<bool> {
     let at = node.world().replica.at();
@@ -128,7 +157,7 @@
 /// Fetches changes from peers whose replica is ahead; each token is a reason to look.
 pub async fn follow(node: Node, behind: Receiver<()>) {
     while behind.recv().await.is_ok() {
-        if node.role() == Role::Entry && node.world().replica.is_synced() {
+        if is_reader(&node) {
             smol::Timer::after(WATCH_LEAD).await;
         }
         let at = node.world().replica.at();
@@ -146,6 +175,9 @@
             match fetch(&node, ip, at).await {
                 Ok(doc) => {
                     let left = Millis(u64::from(doc.left));
+                    if !doc.docs.is_empty() {
+                        node.world().watch.told(node.now());
+                    }
                     if left == Millis(0) && !doc.docs.is_empty() {
                         let silence = Millis(LEASE_BEATS * node.settings().heartbeat.0);
                         node.world().peer_answered(node.now(), silence);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -10,27 +10,35 @@
 use smol::Async;
 use smol::channel::Sender;
 
+use crate::direct::feed;
 use crate::direct::node::Node;
 use crate::direct::wire::Datagram;
 use crate::direct::wire::PeerDoc;
 use crate::member::peers::Peer;
 use crate::member::peers::Role;
 use crate::prelude::*;
+use crate::util::lock;
 
-/// Shortest interval between two datagrams to one process.
+/// Interval at which the state is looked at for news.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Longest interval to entries, which place requests by what is told.
-///
-/// News goes at once within the zone; to other zones, where bytes are dear and
-/// few requests go, it waits for this interval.
+/// Datagrams a second at most with news to the entries of the zone: what a
+/// third of a core sends and receives for a few parts in a hundred of its time.
+const NEWS_RATE: u64 = 200;
+
+/// Longest interval to entries of the zone, which place requests by what is told.
 const NEAR_INTERVAL: Millis = Millis(250);
 
+/// Longest interval from agents to entries of other zones: bytes between zones
+/// are dear, and few requests go there.
+const REMOTE_INTERVAL: Millis = Millis(500);
+
 /// Interval at which datagrams name other processes.
 const NAMING_INTERVAL: Millis = Millis(1_000);
 
-/// Longest interval to processes that only need to know that this one lives.
-const FAR_INTERVAL: Millis = Millis(500);
+/// Longest interval to processes that only need to know that this one lives;
+/// they forget it after three seconds.
+const FAR_INTERVAL: Millis = Millis(900);
 
 /// Known processes named in one datagram.
 const MAX_NAMED: usize = 6;
@@ -41,8 +49,8 @@
 /// Largest datagram read.
 const MAX_DATAGRAM: usize = 60 << 10;
 
-/// Adds a daemon's part to a datagram.
-type Fill = Box<dyn Fn(Millis, &mut Datagram) + Send + Sync>;
+/// Adds a daemon's part to a datagram; more of it to entries of the zone.
+type Fill = Box<dyn Fn(Millis, &mut Datagram, bool) + Send + Sync>;
 
 /// Takes a datagram of another process.
 type Take = Box<dyn Fn(Millis, &Datagram) + Send + Sync>;
@@ -59,7 +67,6 @@
 struct Sent {
     /// When each process was last told something.
     at: IndexMap<IpAddr, Millis>,
-    seq: u64,
 }
 
 /// Sends and receives datagrams.
@@ -115,6 +122,7 @@
             zone: datagram.zone.clone(),
             born: datagram.born,
             revision: datagram.revision,
+            reads: datagram.reads,
             seen: now,
         };
         {
@@ -134,6 +142,7 @@
                         zone: named.zone.clone(),
                         born: 0,
                         revision: 0,
+                        reads: false,
                         seen: now,
                     });
                 }
@@ -145,7 +154,9 @@
         }
         (self.parts.take)(now, datagram);
         if datagram.hello {
-            let bytes = self.datagram(now, MAX_NAMED_NEW, false).encode_to_vec();
+            let bytes = self
+                .datagram(now, MAX_NAMED_NEW, false, true)
+                .encode_to_vec();
             let _ = self
                 .socket
                 .send_to(&bytes, SocketAddr::new(from, own.ports.0))
@@ -156,6 +167,7 @@
     /// Sends until the task is dropped.
     pub async fn send(&self) {
         let mut last = Datagram::default();
+        let mut told = Datagram::default();
         let mut named = Millis(0);
         loop {
             smol::Timer::after(TICK).await;
@@ -164,72 +176,94 @@
             if names {
                 named = now;
             }
-            let current = self.datagram(now, if names { MAX_NAMED } else { 0 }, false);
-            let is_news = news(&last, &current);
-            let moved = last.revision != current.revision || changed(&last, &current);
-            let bytes = current.encode_to_vec();
-            for (ip, role) in self.targets(now, is_news, moved) {
-                let addr = SocketAddr::new(ip, self.node.settings().ports.0);
-                let sent = if role.is_some() {
-                    self.socket.send_to(&bytes, addr).await
-                } else {
-                    let hello = self.datagram(now, MAX_NAMED, true).encode_to_vec();
-                    self.socket.send_to(&hello, addr).await
+            let count = if names { MAX_NAMED } else { 0 };
+            let current = self.datagram(now, count, false, true);
+            let state = News {
+                figures: figures(&told, &current),
+                moved: last.revision != current.revision && current.reads,
+                changed: changed(&last, &current),
+            };
+            let targets = self.targets(now, state);
+            let near = current.encode_to_vec();
+            let far = if targets.iter().any(|t| t.reach == Reach::Far) {
+                self.datagram(now, count, false, false).encode_to_vec()
+            } else {
+                Vec::new()
+            };
+            let is_told = targets.iter().any(|t| t.reach == Reach::Near);
+            for target in targets {
+                let addr = SocketAddr::new(target.ip, self.node.settings().ports.0);
+                let sent = match target.reach {
+                    Reach::Near => self.socket.send_to(&near, addr).await,
+                    Reach::Far => self.socket.send_to(&far, addr).await,
+                    Reach::Unknown => {
+                        let hello = self.datagram(now, MAX_NAMED, true, false);
+                        self.socket.send_to(&hello.encode_to_vec(), addr).await
+                    }
                 };
                 // A datagram that cannot be sent counts as lost on the way.
                 let _ = sent;
             }
+            if is_told {
+                told = current.clone();
+            }
             last = current;
         }
     }
 
-    /// Who gets a datagram now; seeds that were not heard of have no role.
-    fn targets(&self, now: Millis, is_news: bool, moved: bool) -> Vec<(IpAddr, Option<Role>)> {
+    /// Who gets a datagram now.
+    fn targets(&self, now: Millis, news: News) -> Vec<Receiver> {
         let own = self.node.settings();
+        let is_entry = self.node.role() == Role::Entry;
         let peers = self.node.peers();
-        let mut sent = self.sent.lock().unwrap_or_else(|e| e.into_inner());
+        let mut sent = lock(&self.sent);
+        let news_interval = Millis(1_000 * peers.near(&own.zone) as u64 / NEWS_RATE);
         let mut targets = Vec::new();
         let mut known: Vec<IpAddr> = vec![own.ip];
         for peer in peers.iter() {
             known.push(peer.ip);
-            let uses = peer.role == Role::Entry;
-            let (interval, at_once) = if uses {
-                (NEAR_INTERVAL, moved || is_news && peer.zone == own.zone)
-            } else {
-                (FAR_INTERVAL, moved)
+            let in_zone = peer.zone == own.zone;
+            let near = in_zone && peer.role == Role::Entry;
+            let interval = match (near, is_entry, peer.role) {
+                (true, _, _) if news.figures => news_interval,
+                (true, _, _) => NEAR_INTERVAL,
+                (false, false, Role::Entry) => REMOTE_INTERVAL,
+                _ => FAR_INTERVAL,
             };
+            let at_once = news.changed || news.moved && in_zone;
             let age = sent.at.get(&peer.ip).map(|at| now.since(*at));
             if at_once || age.is_none_or(|age| age >= interval) {
-                targets.push((peer.ip, Some(peer.role)));
+                let reach = if near { Reach::Near } else { Reach::Far };
+                targets.push(Receiver { ip: peer.ip, reach });
             }
         }
         for seed in &own.seeds {
             let age = sent.at.get(&seed.ip()).map(|at| now.since(*at));
             if !known.contains(&seed.ip()) && age.is_none_or(|age| age >= NEAR_INTERVAL) {
-                targets.push((seed.ip(), None));
+                targets.push(Receiver {
+                    ip: seed.ip(),
+                    reach: Reach::Unknown,
+                });
             }
         }
-        for (ip, _) in &targets {
-            sent.at.insert(*ip, now);
+        for target in &targets {
+            sent.at.insert(target.ip, now);
         }
         targets
     }
 
-    fn datagram(&self, now: Millis, named: usize, hello: bool) -> Datagram {
+    fn datagram(&self, now: Millis, named: usize, hello: bool, near: bool) -> Datagram {
         let own = self.node.settings();
-        let seq = {
-            let mut sent = self.sent.lock().unwrap_or_else(|e| e.into_inner());
-            sent.seq += 1;
-            sent.seq
-        };
+        let revision = self.node.world().replica.at();
+        let reads = self.node.role() == Role::Entry && feed::is_reader(&self.node);
         let mut datagram = Datagram {
             name: own.name.clone(),
             entry: self.node.role() == Role::Entry,
             zone: own.zone.clone(),
             ip: own.ip.to_string(),
             born: self.node.born(),
-            seq,
-            revision: self.node.world().replica.at(),
+            revision,
+            reads,
             hello,
             ..Datagram::default()
         };
@@ -254,7 +288,7 @@
             })
             .collect();
         drop(peers);
-        (self.parts.fill)(now, &mut datagram);
+        (self.parts.fill)(now, &mut datagram, near);
         datagram
     }
 }
@@ -263,8 +297,36 @@
     if entry { Role::Entry } else { Role::Agent }
 }
 
-/// True when receivers of the zone should hear of the change at once.
-fn news(last: &Datagram, current: &Datagram) -> bool {
+/// What is new in a datagram.
+#[derive(Clone, Copy, Debug)]
+struct News {
+    /// Loads or figures, for the entries of the zone.
+    figures: bool,
+    /// The store's revision, for all of the zone: other zones have readers too.
+    moved: bool,
+    /// What everyone should hear at once.
+    changed: bool,
+}
+
+/// What a receiver needs to hear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// Everything.
+    Near,
+    /// That the sender lives, and what a runner holds.
+    Far,
+    /// An answer is asked for; it has not been heard of.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Receiver {
+    ip: IpAddr,
+    reach: Reach,
+}
+
+/// True when entries of the zone should hear of the change soon.
+fn figures(last: &Datagram, current: &Datagram) -> bool {
     let figures = |d: &Datagram| d.status.as_ref().map(|s| (s.pace / 25, s.calls / 4));
     last.loads != current.loads || figures(last) != figures(current)
 }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -25,9 +25,6 @@
     /// When the sender started, in Unix milliseconds.
     #[prost(fixed64, tag = "5")]
     pub born: u64,
-    /// Number of the datagram since the sender's start.
-    #[prost(uint64, tag = "6")]
-    pub seq: u64,
     /// Revision up to which the sender's replica is complete.
     #[prost(uint64, tag = "7")]
     pub revision: u64,
@@ -46,6 +43,9 @@
     /// True when the sender's datagrams may be answered with one of one's own.
     #[prost(bool, tag = "12")]
     pub hello: bool,
+    /// True when an entry reads the store and can be relied on.
+    #[prost(bool, tag = "14")]
+    pub reads: bool,
     /// Requests that an entry refused a moment ago.
     #[prost(message, repeated, tag = "13")]
     pub refused: Vec<RefusedDoc>,
@@ -100,12 +100,6 @@
     /// Age of these figures, in milliseconds.
     #[prost(uint32, tag = "6")]
     pub age: u32,
-    /// Pool of the runner.
-    #[prost(string, tag = "7")]
-    pub pool: String,
-    /// Model of the pieces that the agent gives.
-    #[prost(string, tag = "8")]
-    pub model: String,
     /// Version of which the agent can give every piece; 0 for none.
     #[prost(uint64, tag = "9")]
     pub complete: u64,
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -1,6 +1,7 @@
 //! What a process believes: configuration, upstreams and versions, decoded
 //! from the replica. Pure: no I/O and no clock.
 
+use crate::member::Watch;
 use crate::member::registry::Registration;
 use crate::platform::config;
 use crate::platform::registry;
@@ -40,6 +41,8 @@
     pub replica: Replica,
     /// Upstreams by id.
     pub members: IndexMap<String, Registration>,
+    /// State of the own reading of the store.
+    pub watch: Watch,
     /// Versions of weights.
     pub versions: Versions,
     routing: Option<Arc<Routing>>,
@@ -60,6 +63,7 @@
 
     /// Notes that a call to the store failed.
     pub fn store_failed(&mut self) {
+        self.watch.failed();
         self.away = true;
     }
 
@@ -68,6 +72,7 @@
     /// If the store served others meanwhile, only this process was cut off
     /// from it, and what is missing was removed.
     pub fn store_answered(&mut self, now: Millis) -> bool {
+        self.watch.answered(now);
         if !std::mem::take(&mut self.away) {
             return false;
         }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -6,6 +6,7 @@
 pub mod progress;
 pub mod registry;
 pub mod standing;
+pub mod watch;
 
 pub use incarnation::Incarnation;
 pub use live::Live;
@@ -13,3 +14,4 @@
 pub use progress::Progress;
 pub use standing::Members;
 pub use standing::Standing;
+pub use watch::Watch;
--- a/src/member/peers.rs
+++ b/src/member/peers.rs
@@ -35,6 +35,8 @@
     pub born: u64,
     /// Revision up to which its replica is complete.
     pub revision: u64,
+    /// True when it reads the store and can be relied on.
+    pub reads: bool,
     /// When it was last heard of, by the own clock.
     pub seen: Millis,
 }
@@ -75,6 +77,12 @@
         self.table.retain(|_, peer| now.since(peer.seen) < EXPIRY);
     }
 
+    /// Entries of a zone.
+    pub fn near(&self, zone: &str) -> usize {
+        let near = self.with_role(Role::Entry);
+        near.filter(|peer| peer.zone == zone).count()
+    }
+
     /// All processes.
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
         self.table.values()
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -6,6 +6,8 @@
 //! prediction adds the entry's own calls, what the other entries last told,
 //! and the pace that the upstream reports.
 
+use std::collections::VecDeque;
+
 use fastrand::Rng;
 
 use crate::member::registry;
@@ -20,6 +22,10 @@
 /// Age at which what another entry told of its calls no longer counts.
 const LOAD_EXPIRY: Millis = Millis(1_000);
 
+/// Own sends remembered for one upstream; more than it takes in the time after
+/// which an agent's word is too old.
+const MAX_RECENT: usize = 64;
+
 /// Age at which an agent's word on its runner no longer goes before the registry's.
 const STATUS_EXPIRY: Millis = Millis(1_500);
 
@@ -185,6 +191,8 @@
     leaving: bool,
     own: Load,
     others: IndexMap<String, (Millis, Load)>,
+    /// When this entry sent its latest requests there.
+    recent: VecDeque<Millis>,
     status: Option<Status>,
     pace: (f64, Millis),
     slowness: (f64, Millis),
@@ -307,6 +315,7 @@
             leaving: member.draining,
             own: Load::default(),
             others: IndexMap::new(),
+            recent: VecDeque::new(),
             status: None,
             pace: (1.0, Millis(0)),
             slowness: (1.0, Millis(0)),
@@ -448,6 +457,10 @@
                 .map_or(0.0, |e| e.read_ms(want.size.prompt));
             target.own.calls += 1;
             target.own.unread += unread;
+            if target.recent.len() >= MAX_RECENT {
+                target.recent.pop_front();
+            }
+            target.recent.push_back(now);
         }
         self.calls.insert(Call {
             target: key,
@@ -620,7 +633,21 @@
         registry::whole_version(holdings, model, layers)
     }
 
+    /// Load as told by the entries of the zone, or as its agent reports it with
+    /// what was sent since: entries of other zones tell nothing.
     fn load(&self, now: Millis) -> Load {
+        let told = self.told(now);
+        let Some(status) = self.status(now) else {
+            return told;
+        };
+        let sent = self.recent.iter().rev().take_while(|at| **at > status.at);
+        Load {
+            calls: told.calls.max(status.calls + sent.count() as u32),
+            ..told
+        }
+    }
+
+    fn told(&self, now: Millis) -> Load {
         let fresh = self
             .others
             .values()
--- /dev/null
+++ b/tests/store_readers.rs
@@ -0,0 +1,92 @@
+//! Which entries of a zone read the store.
+
+use std::net::IpAddr;
+
+use chervilquay::member::Watch;
+use chervilquay::member::peers::Peer;
+use chervilquay::member::peers::Peers;
+use chervilquay::member::peers::Role;
+use chervilquay::member::watch::is_needed;
+use chervilquay::time::Millis;
+
+const WAIT: Millis = Millis(4_600);
+
+fn name(index: usize) -> String {
+    format!("e{index:02}")
+}
+
+fn peer(index: usize, zone: &str, reads: bool, seen: u64) -> Peer {
+    Peer {
+        name: name(index),
+        role: Role::Entry,
+        ip: IpAddr::from([10, 0, 0, index as u8]),
+        zone: zone.to_string(),
+        born: 1,
+        revision: 1,
+        reads,
+        seen: Millis(seen),
+    }
+}
+
+/// Entries of one zone that read after some rounds, of those that live.
+fn readers(live: &[usize], start: &[usize]) -> Vec<usize> {
+    let mut reading: Vec<usize> = start.to_vec();
+    for round in 1..=10 {
+        let now = Millis(10_000 + round * 250);
+        let next = live.iter().copied().filter(|own| {
+            let mut peers = Peers::default();
+            for other in live.iter().filter(|other| *other != own) {
+                peers.heard(peer(*other, "z", reading.contains(other), now.0));
+            }
+            is_needed(now, &name(*own), "z", &peers)
+        });
+        reading = next.collect();
+    }
+    reading
+}
+
+/// Guards against store calls that grow with the entries, and against a zone
+/// without a reader when the present ones are lost.
+#[test]
+fn two_entries_of_a_zone_read() {
+    let all: Vec<usize> = (0..15).collect();
+    assert_eq!(readers(&all, &all), [0, 1]);
+    assert_eq!(readers(&all, &[]), [0, 1]);
+    assert_eq!(readers(&all[2..], &all[..2]), [2, 3]);
+    assert_eq!(readers(&all[14..], &[]), [14]);
+}
+
+/// Guards against an entry that trusts readers of another zone, silent ones, or
+/// ones that have lost the store.
+#[test]
+fn unsound_readers_do_not_count() {
+    let now = Millis(20_000);
+    let mut peers = Peers::default();
+    peers.heard(peer(1, "other", true, 20_000));
+    peers.heard(peer(2, "z", true, 18_900));
+    peers.heard(peer(3, "z", false, 20_000));
+    peers.heard(peer(4, "z", true, 20_000));
+    assert!(is_needed(now, &name(9), "z", &peers));
+    peers.heard(peer(5, "z", true, 20_000));
+    assert!(!is_needed(now, &name(9), "z", &peers));
+}
+
+/// Guards against a reader whose connection fell silent: peers have news, and
+/// it claims to be a reader for as long as its call waits.
+#[test]
+fn overtaken_reading_is_not_sound() {
+    let mut watch = Watch::default();
+    assert!(!watch.is_sound(Millis(1), WAIT));
+    watch.answered(Millis(1_000));
+    assert!(watch.is_sound(Millis(5_000), WAIT));
+    assert!(!watch.is_sound(Millis(5_700), WAIT));
+    watch.answered(Millis(6_000));
+    watch.told(Millis(6_100));
+    watch.told(Millis(6_600));
+    assert!(watch.is_sound(Millis(6_600), WAIT));
+    assert!(!watch.is_sound(Millis(6_800), WAIT));
+    watch.answered(Millis(6_900));
+    assert!(watch.is_sound(Millis(7_500), WAIT));
+    watch.failed();
+    assert!(!watch.is_sound(Millis(7_500), WAIT));
+}
