soak: Run entry processes under faults from outside

chervilquay soak starts real entries in the prepared mode beside stand-ins for store and upstreams, pauses, kills, stops and reloads them by signals, disturbs links by loopback proxies, lets upstreams crash and leave and configurations change, all in overlapping series, and checks eight promises from what callers and upstreams see. The judge is pure and has a test for each promise.

Agents and weights, clocks that step and links between entries are not covered.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 pub mod prepared;
 pub mod report;
 pub mod scenario;
+pub mod soak;
 pub mod standin;
 pub mod status;
 pub mod trace;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod route;
 pub mod scenario;
 pub mod sched;
+pub mod soak;
 pub mod standin;
 pub mod table;
 pub mod time;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,5 +8,6 @@
 pub mod registry;
 pub mod runner;
 pub mod settings;
+pub mod standin;
 pub mod store;
 pub mod weights;
