--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -11,6 +11,7 @@
 use crate::config::EntrySettings;
 use crate::config::check as settings;
 use crate::error::Code;
+use crate::platform::settings as platform;
 use crate::table::check as table;
 use crate::yaml::Finding;
 use crate::yaml::Findings;
@@ -29,7 +30,8 @@
     /// files to check
     #[argh(positional)]
     pub files: Vec<PathBuf>,
-    /// kind of the files: entry, agent, routes or pools
+    /// kind of the files: entry, agent, routes, pools or machine (the settings
+    /// of a prepared machine)
     #[argh(option)]
     pub kind: Option<Kind>,
     /// text or json
@@ -48,6 +50,8 @@
     Routes,
     /// Pools table.
     Pools,
+    /// Settings that the platform gives to a prepared machine.
+    Machine,
 }
 }
 
@@ -60,7 +64,8 @@
             "agent" => Ok(Kind::Agent),
             "routes" => Ok(Kind::Routes),
             "pools" => Ok(Kind::Pools),
-            _ => Err("expected entry, agent, routes or pools".to_string()),
+            "machine" => Ok(Kind::Machine),
+            _ => Err("expected entry, agent, routes, pools or machine".to_string()),
         }
     }
 }
@@ -120,12 +125,16 @@
             .unwrap_or_default(),
         Some(Kind::Routes) => table::routes(file, text),
         Some(Kind::Pools) => table::pools(file, text),
+        Some(Kind::Machine) => machine(file, text),
         None => unknown(file, text),
     }
 }
 
 /// Sees the kind from the top-level fields, else from the file's name.
 fn detect(file: &str, text: &str) -> Option<Kind> {
+    if text.lines().any(|line| line.starts_with("node_name=")) {
+        return Some(Kind::Machine);
+    }
     let by_field = [
         ("routes", Kind::Routes),
         ("pools", Kind::Pools),
@@ -150,6 +159,20 @@
     found.map(|(_, kind)| *kind)
 }
 
+/// Findings of the settings of a prepared machine.
+fn machine(file: &str, text: &str) -> Vec<Finding> {
+    let mut findings = Findings::new(file);
+    for fault in platform::faults(text) {
+        let place = Place {
+            line: fault.line,
+            ..Place::START
+        };
+        let code = Code::SettingsField;
+        findings.add(place, &fault.field, code, fault.expected, fault.found);
+    }
+    findings.list
+}
+
 /// Findings of a file whose kind cannot be seen.
 fn unknown(file: &str, text: &str) -> Vec<Finding> {
     let mut findings = Findings::new(file);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -74,6 +74,53 @@
     parse(&text)
 }
 
+/// A fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Line, from 1; 1 when the field is missing.
+    pub line: u64,
+    /// Name of the field.
+    pub field: String,
+    /// What was expected there.
+    pub expected: &'static str,
+    /// What stands there.
+    pub found: String,
+}
+
+/// Faults of a settings file: the first that would stop a process, and list
+/// items that a process would leave out.
+pub fn faults(text: &str) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let place = |field: &str| {
+        let mut lines = text.lines().zip(1..);
+        let line = lines.find(|(line, _)| line.split('=').next() == Some(field));
+        line.map_or(1, |(_, number)| number)
+    };
+    if let Err(error) = parse(text) {
+        let word = error.detail.split(['=', ' ']).next();
+        let field = word.unwrap_or_default().to_string();
+        faults.push(Fault {
+            line: place(&field),
+            field,
+            expected: "a value of its type",
+            found: error.detail,
+        });
+    }
+    let lines = text.lines().filter_map(|line| line.split_once('='));
+    let seeds = lines.filter(|(name, _)| name.trim() == "seeds");
+    for item in seeds.flat_map(|(_, list)| list.split(',')) {
+        if !item.trim().is_empty() && item.trim().parse::<SocketAddr>().is_err() {
+            faults.push(Fault {
+                line: place("seeds"),
+                field: "seeds".to_string(),
+                expected: "addresses with ports",
+                found: item.trim().to_string(),
+            });
+        }
+    }
+    faults
+}
+
 /// Fields by name.
 struct Fields(IndexMap<String, String>);
 
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -196,9 +196,9 @@
             let next = self.configs.get(index + 1);
             next.is_none_or(|(at, _)| at.plus(APPLY) > seen.sent)
         };
-        let all = 0..self.configs.len();
+        let mut all = 0..self.configs.len();
         let oldest = all.clone().filter(matching).find(allowed);
-        let newest = all.filter(matching).next_back();
+        let newest = all.rfind(matching);
         if bound && oldest.is_none() {
             let what = format!(
                 "{} used pool {} of an old configuration",
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -37,6 +37,26 @@
     assert!(settings::parse(&missing).is_err());
 }
 
+/// Guards against a check that passes settings with which no process starts, or
+/// that hides a seed that would be left out.
+#[test]
+fn settings_are_checked() {
+    let found = |text: &str| {
+        let faults = settings::faults(text);
+        let brief = faults
+            .iter()
+            .map(|f| (f.line, f.field.clone(), f.found.clone()));
+        brief.collect::<Vec<_>>()
+    };
+    let seed = (9, "seeds".to_string(), "bad".to_string());
+    assert_eq!(found(SETTINGS), std::slice::from_ref(&seed));
+    let bad = SETTINGS.replace("ip=10.1.0.40\n", "ip=here\n");
+    let ip = (2, "ip".to_string(), "ip=here".to_string());
+    assert_eq!(found(&bad), [ip, seed]);
+    let missing = SETTINGS.replace("platform.address", "platform.other");
+    assert_eq!(found(&missing)[0].1, "platform.address");
+}
+
 const CONFIG: &str = r#"{"version":7,"routes":[
  {"name":"r1","host":"A.example","prefix":"/x/","kind":"streaming","timeout_ms":6000,"slo_ms":400,"priority":1,"service":"s","max_attempts":2,"public":false,"resumable":true,"gap_target_ms":400},
  {"name":"r2","host":"a.example","prefix":"/x/y/","kind":"non_idempotent","timeout_ms":800,"slo_ms":150,"backends":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":1}],
