direct: Split what entries tell from the entry; one way to start gossip

Conversions of messages stand beside their types. Removed: the runner's required version, which nothing set.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -50,15 +50,12 @@
             fill: Box::new(move |now, datagram, _| filler.fill(now, datagram)),
             take: Box::new(move |now, datagram| taker.take(now, datagram)),
         };
-        let gossip = Arc::new(Gossip::bind(self.node.clone(), parts, behind)?);
-        let (sender, receiver) = (gossip.clone(), gossip);
-        let mut tasks = vec![
+        let mut tasks = Gossip::start(self.node.clone(), parts, behind)?;
+        tasks.extend([
             rt::spawn(feed::follow(self.node.clone(), token)),
             rt::spawn(feed::watch_alone(self.node.clone())),
-            rt::spawn(async move { sender.send().await }),
-            rt::spawn(async move { receiver.receive().await }),
             rt::spawn(self.fill.clone().run()),
-        ];
+        ]);
         let (_open, never) = channel::bounded::<()>(1);
         let settings = self.node.settings();
         for addr in [
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -26,13 +26,9 @@
 use crate::direct::node::Node;
 use crate::direct::send;
 use crate::direct::send::Tried;
-use crate::direct::wire::Datagram;
-use crate::direct::wire::LoadDoc;
-use crate::direct::wire::RefusedDoc;
-use crate::direct::wire::SuspectDoc;
+use crate::direct::tell;
 use crate::gate::Suspects;
 use crate::gate::Witness;
-use crate::gate::suspect::Report;
 use crate::member::peers::Role;
 use crate::member::registry::Registration;
 use crate::metric::Metric;
@@ -51,7 +47,6 @@
 use crate::route::place::Call;
 use crate::route::place::Outcome;
 use crate::route::place::Placer;
-use crate::route::place::Status;
 use crate::route::place::Target;
 use crate::route::place::Want;
 use crate::route::sizes::Sizes;
@@ -98,10 +93,10 @@
     pub node: Node,
     placer: Mutex<Placer>,
     windows: Mutex<IndexMap<String, Window>>,
-    suspects: Mutex<Suspects>,
+    pub(super) suspects: Mutex<Suspects>,
     witness: Mutex<Witness>,
     clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
-    repeats: Mutex<Repeats>,
+    pub(super) repeats: Mutex<Repeats>,
     sizes: Mutex<IndexMap<String, Sizes>>,
 }
 
@@ -429,91 +424,6 @@
         world.routing().is_some() && !self.node.is_stopping()
     }
 
-    /// Adds what others need to know; loads and refusals only for the entries
-    /// of the zone, which share its callers and prefer its upstreams.
-    fn fill(&self, now: Millis, datagram: &mut Datagram, near: bool) {
-        if near {
-            self.fill_near(now, datagram);
-        }
-        let reports = lock(&self.suspects).export(now);
-        datagram.suspects = reports
-            .into_iter()
-            .take(16)
-            .map(|report| SuspectDoc {
-                print: report.print.to_vec(),
-                clears: report.clears,
-                crashes: report.crashes,
-                age: report.age.0,
-            })
-            .collect();
-    }
-
-    fn fill_near(&self, now: Millis, datagram: &mut Datagram) {
-        let loads = self.placer().loads();
-        datagram.loads = loads
-            .into_iter()
-            .map(|(upstream, calls, unread)| LoadDoc {
-                upstream,
-                calls,
-                unread: unread as u32,
-            })
-            .collect();
-        let news = lock(&self.repeats).news(now);
-        datagram.refused = news
-            .into_iter()
-            .map(|r| RefusedDoc {
-                print: r.print,
-                age: now.since(r.first).0 as u32,
-                left: r.deadline.since(now).0 as u32,
-            })
-            .collect();
-    }
-
-    fn take(&self, now: Millis, datagram: &Datagram) {
-        if datagram.entry && datagram.zone == self.node.settings().zone {
-            let loads = datagram.loads.iter();
-            let loads: Vec<_> = loads
-                .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
-                .collect();
-            self.placer().on_loads(now, &datagram.name, &loads);
-        }
-        if let Some(status) = &datagram.status {
-            let held = Status {
-                holdings: status.holdings.iter().map(|h| h.holding()).collect(),
-                busy: status.busy,
-                calls: status.calls,
-                pace: f64::from(status.pace) / 100.0,
-                at: now.since(Millis(u64::from(status.age))),
-                turn: status.turn.map(|left| now.plus(Millis(u64::from(left)))),
-            };
-            self.placer().on_status(&status.upstream, held);
-        }
-        let mut repeats = lock(&self.repeats);
-        for refused in &datagram.refused {
-            let told = Refused {
-                print: refused.print,
-                first: now.since(Millis(u64::from(refused.age))),
-                deadline: now.plus(Millis(u64::from(refused.left))),
-            };
-            repeats.merge(now, told);
-        }
-        drop(repeats);
-        let origin = util::stable_hash([datagram.name.as_str()]);
-        let mut suspects = lock(&self.suspects);
-        for suspect in &datagram.suspects {
-            let Ok(print) = Print::try_from(suspect.print.as_slice()) else {
-                continue;
-            };
-            let report = Report {
-                print,
-                clears: suspect.clears,
-                crashes: suspect.crashes,
-                age: Millis(suspect.age),
-            };
-            suspects.merge(now, origin, report);
-        }
-    }
-
     /// State for operators.
     fn dump(&self) -> Value {
         let now = self.node.now();
@@ -545,17 +455,14 @@
         let (behind, token) = channel::bounded(1);
         let (filler, taker) = (self.clone(), self.clone());
         let parts = Parts {
-            fill: Box::new(move |now, datagram, near| filler.fill(now, datagram, near)),
-            take: Box::new(move |now, datagram| taker.take(now, datagram)),
+            fill: Box::new(move |now, datagram, near| tell::fill(&filler, now, datagram, near)),
+            take: Box::new(move |now, datagram| tell::take(&taker, now, datagram)),
         };
-        let gossip = Arc::new(Gossip::bind(self.node.clone(), parts, behind)?);
-        let (sender, receiver) = (gossip.clone(), gossip);
-        let mut tasks = vec![
+        let mut tasks = Gossip::start(self.node.clone(), parts, behind)?;
+        tasks.extend([
             rt::spawn(feed::watch(self.node.clone())),
             rt::spawn(feed::follow(self.node.clone(), token)),
-            rt::spawn(async move { sender.send().await }),
-            rt::spawn(async move { receiver.receive().await }),
-        ];
+        ]);
         // Servers beside the one for callers end with the process.
         let (_open, never) = channel::bounded::<()>(1);
         let mut listeners = vec![self.node.internal(settings.ip)];
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -8,6 +8,7 @@
 
 use prost::Message;
 use smol::Async;
+use smol::Task;
 use smol::channel::Sender;
 
 use crate::direct::feed;
@@ -16,6 +17,7 @@
 use crate::direct::wire::PeerDoc;
 use crate::member::peers::Peer;
 use crate::member::peers::Role;
+use crate::net::rt;
 use crate::prelude::*;
 use crate::util::lock;
 
@@ -79,8 +81,7 @@
 }
 
 impl Gossip {
-    /// Binds the internal port; `behind` is told when a peer's replica is ahead.
-    pub fn bind(node: Node, parts: Parts, behind: Sender<()>) -> Result<Gossip> {
+    fn bind(node: Node, parts: Parts, behind: Sender<()>) -> Result<Gossip> {
         let addr = node.internal(node.settings().ip);
         let socket = Async::<UdpSocket>::bind(addr)
             .map_err(|e| Error::new(Code::ListenFailed, format!("{addr}: {e}")))?;
@@ -93,8 +94,19 @@
         })
     }
 
+    /// Binds the internal port and starts both directions; `behind` is told when
+    /// a peer's replica is ahead.
+    pub fn start(node: Node, parts: Parts, behind: Sender<()>) -> Result<Vec<Task<()>>> {
+        let gossip = Arc::new(Gossip::bind(node, parts, behind)?);
+        let (sender, receiver) = (gossip.clone(), gossip);
+        Ok(vec![
+            rt::spawn(async move { sender.send().await }),
+            rt::spawn(async move { receiver.receive().await }),
+        ])
+    }
+
     /// Receives until the task is dropped.
-    pub async fn receive(&self) {
+    async fn receive(&self) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
             let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
@@ -165,7 +177,7 @@
     }
 
     /// Sends until the task is dropped.
-    pub async fn send(&self) {
+    async fn send(&self) {
         let mut last = Datagram::default();
         let mut told = Datagram::default();
         let mut named = Millis(0);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,5 +13,6 @@
 pub mod node;
 pub mod relay;
 pub mod send;
+pub mod tell;
 pub mod wire;
 pub mod world;
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -346,7 +346,6 @@
         organisation: job.organisation.as_ref().map(|o| o.name.clone()),
         patience: job.deadline.since(now),
         urgency: urgency(job),
-        weights: None,
         last_event: last,
     };
     Some((client, dispatch))
--- /dev/null
+++ b/src/direct/tell.rs
@@ -0,0 +1,70 @@
+//! What entries tell in their datagrams, and what they take from those of others.
+
+use crate::direct::entry::Entry;
+use crate::direct::wire::Datagram;
+use crate::direct::wire::LoadDoc;
+use crate::direct::wire::RefusedDoc;
+use crate::direct::wire::StatusDoc;
+use crate::direct::wire::SuspectDoc;
+use crate::prelude::*;
+use crate::route::place::Status;
+use crate::util;
+use crate::util::lock;
+
+/// Suspects told in one datagram.
+const MAX_SUSPECTS: usize = 16;
+
+/// Adds what others need to know; loads and refusals only for the entries of
+/// the zone, which share its callers and prefer its upstreams.
+pub fn fill(entry: &Entry, now: Millis, datagram: &mut Datagram, near: bool) {
+    let reports = lock(&entry.suspects).export(now);
+    let reports = reports.iter().take(MAX_SUSPECTS);
+    datagram.suspects = reports.map(SuspectDoc::new).collect();
+    if !near {
+        return;
+    }
+    let loads = entry.placer().loads();
+    datagram.loads = loads
+        .into_iter()
+        .map(|(upstream, calls, unread)| LoadDoc {
+            upstream,
+            calls,
+            unread: unread as u32,
+        })
+        .collect();
+    let news = lock(&entry.repeats).news(now);
+    datagram.refused = news.iter().map(|r| RefusedDoc::new(now, r)).collect();
+}
+
+/// Takes the loads of the zone, a runner's status, refusals and suspects.
+pub fn take(entry: &Entry, now: Millis, datagram: &Datagram) {
+    if datagram.entry && datagram.zone == entry.node.settings().zone {
+        let loads = datagram.loads.iter();
+        let loads: Vec<_> = loads
+            .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
+            .collect();
+        entry.placer().on_loads(now, &datagram.name, &loads);
+    }
+    if let Some(doc) = &datagram.status {
+        entry.placer().on_status(&doc.upstream, status(now, doc));
+    }
+    for refused in &datagram.refused {
+        lock(&entry.repeats).merge(now, refused.refused(now));
+    }
+    let origin = util::stable_hash([datagram.name.as_str()]);
+    let reports = datagram.suspects.iter().filter_map(SuspectDoc::report);
+    for report in reports {
+        lock(&entry.suspects).merge(now, origin, report);
+    }
+}
+
+fn status(now: Millis, doc: &StatusDoc) -> Status {
+    Status {
+        holdings: doc.holdings.iter().map(|h| h.holding()).collect(),
+        busy: doc.busy,
+        calls: doc.calls,
+        pace: f64::from(doc.pace) / 100.0,
+        at: now.since(Millis(u64::from(doc.age))),
+        turn: doc.turn.map(|left| now.plus(Millis(u64::from(left)))),
+    }
+}
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -2,8 +2,11 @@
 //!
 //! Datagrams are protocol buffers; deltas of the replica too, over HTTP.
 
+use crate::gate::suspect::Report;
 use crate::member::registry::Holding;
+use crate::once::Print;
 use crate::prelude::*;
+use crate::retry::Refused;
 use crate::table::replica::Delta;
 use crate::table::replica::Doc;
 
@@ -219,6 +222,48 @@
     }
 }
 
+impl RefusedDoc {
+    /// Encodes a refusal.
+    pub fn new(now: Millis, refused: &Refused) -> RefusedDoc {
+        RefusedDoc {
+            print: refused.print,
+            age: now.since(refused.first).0 as u32,
+            left: refused.deadline.since(now).0 as u32,
+        }
+    }
+
+    /// The refusal, by the receiver's clock.
+    pub fn refused(&self, now: Millis) -> Refused {
+        Refused {
+            print: self.print,
+            first: now.since(Millis(u64::from(self.age))),
+            deadline: now.plus(Millis(u64::from(self.left))),
+        }
+    }
+}
+
+impl SuspectDoc {
+    /// Encodes what is counted against a request.
+    pub fn new(report: &Report) -> SuspectDoc {
+        SuspectDoc {
+            print: report.print.to_vec(),
+            clears: report.clears,
+            crashes: report.crashes,
+            age: report.age.0,
+        }
+    }
+
+    /// What is counted; none when the fingerprint has another length.
+    pub fn report(&self) -> Option<Report> {
+        Some(Report {
+            print: Print::try_from(self.print.as_slice()).ok()?,
+            clears: self.clears,
+            crashes: self.crashes,
+            age: Millis(self.age),
+        })
+    }
+}
+
 impl HoldingDoc {
     /// Encodes a holding.
     pub fn new(holding: &Holding) -> HoldingDoc {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -98,8 +98,6 @@
     pub patience: Millis,
     /// Rank in the runner's queue, 0 to 9; 0 is the most urgent.
     pub urgency: u8,
-    /// Version of the weights that alone may run it.
-    pub weights: Option<u64>,
     /// Last event that the caller has, when a stream is resumed.
     pub last_event: Option<u64>,
 }
@@ -125,9 +123,6 @@
     if let Some(name) = &dispatch.organisation {
         set(ORGANISATION, name);
     }
-    if let Some(version) = dispatch.weights {
-        set(WEIGHTS, &version.to_string());
-    }
     if let Some(event) = dispatch.last_event {
         set(LAST_EVENT, &event.to_string());
     }
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -156,7 +156,6 @@
         organisation: None,
         patience: Millis(700),
         urgency: 2,
-        weights: None,
         last_event: None,
     };
     let sent = headers::to_runner(&caller, &dispatch);
