--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for a prepared machine's platform: store, runners, and a caller.
 
 use std::collections::VecDeque;
+use std::fs::File;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -288,6 +289,7 @@
     /// Where the balancer asks.
     pub ready: SocketAddr,
     settings: PathBuf,
+    log: PathBuf,
 }
 
 impl Entry {
@@ -302,10 +304,11 @@
         );
         let settings = std::env::temp_dir().join(format!("chervilquay-{ip}.conf"));
         std::fs::write(&settings, text).unwrap();
+        let log = settings.with_extension("log");
         let child = Command::new(env!("CARGO_BIN_EXE_chervilquay-entry"))
             .arg("--prepared")
             .env("CHERVILQUAY_CONFIG", &settings)
-            .stdout(Stdio::null())
+            .stdout(File::create(&log).unwrap())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
@@ -314,6 +317,7 @@
             callers,
             ready,
             settings,
+            log,
         };
         until(|| TcpStream::connect(callers).is_ok());
         entry
@@ -326,6 +330,11 @@
         assert!(done.is_ok_and(|s| s.success()));
     }
 
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
     /// True while the process runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -348,6 +357,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
