--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -1,5 +1,6 @@
 //! Keeps the replica up to date: from the store, and from peers that are ahead.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use http::Request;
@@ -18,6 +19,7 @@
 use crate::net::body::BoxBody;
 use crate::net::client;
 use crate::net::client::Client;
+use crate::net::client::Limits;
 use crate::platform::store::Store;
 use crate::prelude::*;
 use slog::info;
@@ -41,6 +43,13 @@
 /// Time for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Age up to which a connection to a peer is used again: a peer that was
+/// replaced meanwhile would cost a failed call.
+const PEER_IDLE: Duration = Duration::from_secs(2);
+
+/// Peers whose connections are kept.
+const MAX_CLIENTS: usize = 16;
+
 /// Largest delta.
 const MAX_DELTA: usize = 64 << 20;
 
@@ -75,6 +84,8 @@
                     info!(node.journal().log(), "platform: store is back"; "failures" => failures);
                 }
                 failures = 0;
+                let rest = node.world().watch.rest(node.now());
+                smol::Timer::after(rest.duration()).await;
             }
             Err(error) => {
                 if failures == 0 {
@@ -156,6 +167,7 @@
 
 /// Fetches changes from peers whose replica is ahead; each token is a reason to look.
 pub async fn follow(node: Node, behind: Receiver<()>) {
+    let mut clients: IndexMap<IpAddr, Client> = IndexMap::new();
     while behind.recv().await.is_ok() {
         if is_reader(&node) {
             smol::Timer::after(WATCH_LEAD).await;
@@ -172,7 +184,11 @@
                 .collect()
         };
         for (ip, name) in ahead {
-            match fetch(&node, ip, at).await {
+            if clients.len() >= MAX_CLIENTS {
+                clients.clear();
+            }
+            let client = clients.entry(ip).or_insert_with(|| peer_client(&node, ip));
+            match fetch(client, at).await {
                 Ok(doc) => {
                     let left = Millis(u64::from(doc.left));
                     if !doc.docs.is_empty() {
@@ -193,13 +209,22 @@
     }
 }
 
-async fn fetch(node: &Node, ip: std::net::IpAddr, after: u64) -> Result<DeltaDoc> {
-    let peer = Client::new(node.internal(ip));
+/// Client of a peer; one connection is kept, as changes come in bursts.
+fn peer_client(node: &Node, ip: IpAddr) -> Client {
+    let limits = Limits {
+        connect: PEER_TIMEOUT,
+        idle: 1,
+        idle_age: PEER_IDLE,
+    };
+    Client::with_limits(node.internal(ip), limits)
+}
+
+async fn fetch(peer: &Client, after: u64) -> Result<DeltaDoc> {
     let request = Request::get(format!("{PATH}?after={after}"))
         .header("host", peer.addr().to_string())
         .body(body::full(""))
         .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-    let call = client::exchange(&peer, request, MAX_DELTA);
+    let call = client::exchange(peer, request, MAX_DELTA);
     let (status, bytes) = client::timeout(PEER_TIMEOUT, Code::RpcFailed, call).await?;
     if status != StatusCode::OK {
         return Err(Error::new(Code::RpcFailed, format!("status {status}")));
--- a/src/member/watch.rs
+++ b/src/member/watch.rs
@@ -19,6 +19,10 @@
 /// Time by which peers may have news before the own reading has it.
 const OVERTAKEN: Millis = Millis(600);
 
+/// Time between an answer and the next call: changes come in bursts, and each
+/// answer is priced. Within it, what is read is in force late by as much.
+const GAP: Millis = Millis(100);
+
 /// State of the own reading.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
@@ -33,6 +37,12 @@
         self.overtaken = None;
     }
 
+    /// Time until the next call, after an answer.
+    pub fn rest(&self, now: Millis) -> Millis {
+        let next = self.answered.map_or(now, |at| at.plus(GAP));
+        next.since(now)
+    }
+
     /// Notes a call that failed.
     pub fn failed(&mut self) {
         self.answered = None;
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -71,6 +71,26 @@
     assert!(!is_needed(now, &name(9), "z", &peers));
 }
 
+/// Guards against one call for each of the changes that come in a burst: a
+/// release of nine runners makes some fifty changes in two seconds.
+#[test]
+fn bursts_are_read_together() {
+    let mut watch = Watch::default();
+    let changes: Vec<u64> = (0..50).map(|number| 1_000 + 40 * number).collect();
+    let (mut calls, mut now, mut read) = (0, 0, 0);
+    while read < changes.len() {
+        now += watch.rest(Millis(now)).0;
+        now = now.max(changes[read]);
+        read = changes.iter().filter(|at| **at <= now).count();
+        watch.answered(Millis(now));
+        calls += 1;
+    }
+    assert!(calls <= 21, "{calls}");
+    assert!(now <= changes[49] + 100, "late by {}", now - changes[49]);
+    watch.failed();
+    assert_eq!(watch.rest(Millis(now)), Millis(0));
+}
+
 /// Guards against a reader whose connection fell silent: peers have news, and
 /// it claims to be a reader for as long as its call waits.
 #[test]
--- a/tests/trace_failed.rs
+++ b/tests/trace_failed.rs
@@ -96,22 +96,21 @@
             Fault::NoRoom => self.all(&Act::NotRun),
             _ => {}
         }
-        let text = match fault {
-            Fault::Key => request("GET", "/safe/1", id, "").replace(": key", ": none"),
-            Fault::Route => request("GET", "/none/1", id, ""),
-            Fault::Length => {
-                let text = request("POST", "/safe/1", id, "");
-                text.replace("Content-Length: 0", "Content-Length: 99999")
-            }
-            Fault::NoRoom => request("GET", "/safe/1", id, ""),
-            Fault::Deadline => {
-                request("GET", "/safe/1", id, "").replace("Deadline-Ms: 6000", "Deadline-Ms: 20")
-            }
-            Fault::Silence => {
-                request("POST", "/once/1", id, "").replace("Deadline-Ms: 6000", "Deadline-Ms: 200")
-            }
-            _ => request("POST", "/once/1", id, ""),
-        };
+        let text =
+            match fault {
+                Fault::Key => request("GET", "/safe/1", id, "").replace(": key", ": none"),
+                Fault::Route => request("GET", "/none/1", id, ""),
+                Fault::Length => {
+                    let text = request("POST", "/safe/1", id, "");
+                    text.replace("Content-Length: 0", "Content-Length: 99999")
+                }
+                Fault::NoRoom => request("GET", "/safe/1", id, ""),
+                Fault::Deadline => request("GET", "/safe/1", id, "")
+                    .replace("Deadline-Ms: 6000", "Deadline-Ms: 20"),
+                Fault::Silence => request("POST", "/once/1", id, "")
+                    .replace("Deadline-Ms: 6000", "Deadline-Ms: 200"),
+                _ => request("POST", "/once/1", id, ""),
+            };
         let answer = send(self.entry.callers, &text).expect("an answer");
         for runner in &self.runners {
             runner.clear();
