member: Short calls while the store is away

Ruled out: machines of their own cut off (all seven entries were late), the history that was dropped (the silence ended before). Change: after a failed call the next waits 100 ms and is given up after 1 s to 1.5 s; the usual wait is 1.6 s, given up after 2.4 s. Pauses stay below 0.4 s. The plan of calls is in member::watch. Test: store_readers::return_from_silence_is_seen replays silences of any length at any phase, also of a slow store.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -24,19 +24,9 @@
 use crate::prelude::*;
 use slog::info;
 
-/// Wait of one read: the store counts each call, and the others of the zone
-/// rely on a reader that hears nothing for as long.
-const WATCH_WAIT: Millis = Millis(4_000);
-
-/// Time after which a reading that brings no answer is not relied on.
-const WATCH_SOUND: Millis = Millis(4_600);
-
 /// Interval at which an entry looks whether it should read the store.
 const NEED_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Bounds of the wait after a failed call; many processes fail together.
-const RETRY_MS: (u64, u64) = (80, 800);
-
 /// Time that the own watch gets before a peer is asked.
 const WATCH_LEAD: Duration = Duration::from_millis(30);
 
@@ -71,7 +61,7 @@
     let mut failures = 0_u32;
     loop {
         if !is_needed(&node) {
-            node.world().watch.failed();
+            node.world().watch.rested();
             smol::Timer::after(NEED_INTERVAL).await;
             continue;
         }
@@ -92,8 +82,11 @@
                     info!(node.journal().log(), "platform: store is lost"; &error);
                 }
                 failures += 1;
-                node.world().store_failed();
-                let most = (RETRY_MS.0 << failures.min(5)).min(RETRY_MS.1);
+                let most = {
+                    let mut world = node.world();
+                    world.store_failed();
+                    world.watch.backoff().0
+                };
                 let wait = fastrand::u64(most / 2..=most);
                 smol::Timer::after(Duration::from_millis(wait)).await;
             }
@@ -114,16 +107,19 @@
 
 /// True when others may rely on this process for news of the store.
 pub fn is_reader(node: &Node) -> bool {
-    node.world().watch.is_sound(node.now(), WATCH_SOUND)
+    node.world().watch.is_sound(node.now())
 }
 
 /// Reads once; true when the store was away before.
 async fn read(node: &Node, store: &Store) -> Result<bool> {
-    let at = node.world().replica.at();
+    let (at, call) = {
+        let world = node.world();
+        (world.replica.at(), world.watch.call())
+    };
     let changes = if at == 0 {
         None
     } else {
-        store.watch("", at, WATCH_WAIT).await?
+        store.watch("", at, call).await?
     };
     let delta = match changes {
         Some(delta) => delta,
--- a/src/member/watch.rs
+++ b/src/member/watch.rs
@@ -19,14 +19,43 @@
 /// Time by which peers may have news before the own reading has it.
 const OVERTAKEN: Millis = Millis(600);
 
+/// Wait of one read: the others of the zone rely on a reader that hears nothing
+/// for as long, and each call is priced.
+const WAIT: Millis = Millis(1_600);
+
+/// Time beyond the wait after which a read is given up. A store that is fifty
+/// times as slow as usual answers within 200 ms.
+const GRACE: Millis = Millis(800);
+
+/// Wait of a read after a failed one: only an answer is of interest.
+const SHORT_WAIT: Millis = Millis(100);
+
+/// Shortest and longest time for the answer to such a read. The first call that
+/// the store gets after its return must not be one that waits for long.
+const SHORT_LIMITS: (u64, u64) = (500, 1_500);
+
+/// Bounds of the wait after a failed read; many processes fail together.
+const BACKOFF: (u64, u64) = (80, 400);
+
 /// Time between an answer and the next call: changes come in bursts, and each
 /// answer is priced. Within it, what is read is in force late by as much.
 const GAP: Millis = Millis(100);
 
+common! { key
+/// One call to the store.
+pub struct Call {
+    /// Time for which the store may wait for changes.
+    pub wait: Millis,
+    /// Time after which the call is given up.
+    pub limit: Millis,
+}
+}
+
 /// State of the own reading.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
     answered: Option<Millis>,
+    failures: u32,
     overtaken: Option<Millis>,
 }
 
@@ -34,6 +63,7 @@
     /// Notes an answer of the store.
     pub fn answered(&mut self, now: Millis) {
         self.answered = Some(now);
+        self.failures = 0;
         self.overtaken = None;
     }
 
@@ -46,6 +76,32 @@
     /// Notes a call that failed.
     pub fn failed(&mut self) {
         self.answered = None;
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Notes that others read.
+    pub fn rested(&mut self) {
+        self.answered = None;
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        if self.failures == 0 {
+            return Call {
+                wait: WAIT,
+                limit: WAIT.plus(GRACE),
+            };
+        }
+        let limit = SHORT_LIMITS.0 << self.failures.min(4);
+        Call {
+            wait: SHORT_WAIT,
+            limit: Millis(limit.min(SHORT_LIMITS.1)),
+        }
+    }
+
+    /// Longest pause after a failed call; a part of it is drawn.
+    pub fn backoff(&self) -> Millis {
+        Millis((BACKOFF.0 << self.failures.min(4)).min(BACKOFF.1))
     }
 
     /// Notes news of the store that came from a peer.
@@ -53,11 +109,11 @@
         self.overtaken.get_or_insert(now);
     }
 
-    /// True while others may rely on it; `wait` is the longest time between
-    /// two answers.
-    pub fn is_sound(&self, now: Millis, wait: Millis) -> bool {
+    /// True while others may rely on it.
+    pub fn is_sound(&self, now: Millis) -> bool {
+        let most = GAP.plus(WAIT).plus(GRACE);
         let overtaken = self.overtaken.map_or(Millis(0), |at| now.since(at));
-        self.answered.is_some_and(|at| now.since(at) <= wait) && overtaken < OVERTAKEN
+        self.answered.is_some_and(|at| now.since(at) <= most) && overtaken < OVERTAKEN
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use serde::Deserialize;
 
+use crate::member::watch::Call;
 use crate::net::body;
 use crate::net::client;
 use crate::net::client::Client;
@@ -23,9 +24,6 @@
 /// Time for a call that does not wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time beyond the wait after which a waiting read is given up.
-const WAIT_GRACE: Duration = Duration::from_millis(1_500);
-
 /// Largest answer: a page of about 1 MB, encoded.
 const MAX_ANSWER: usize = 8 << 20;
 
@@ -110,13 +108,13 @@
         Err(unavailable("listing has no end".to_string()))
     }
 
-    /// Waits up to `wait` for changes under `prefix` after a revision.
+    /// Waits for changes under `prefix` after a revision.
     ///
     /// None means that the history since then is no longer there.
-    pub async fn watch(&self, prefix: &str, after: u64, wait: Millis) -> Result<Option<Delta>> {
-        let wait_ms = wait.0;
+    pub async fn watch(&self, prefix: &str, after: u64, call: Call) -> Result<Option<Delta>> {
+        let wait_ms = call.wait.0;
         let path = format!("/api/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let (status, bytes) = self.get(&path, wait.duration() + WAIT_GRACE).await?;
+        let (status, bytes) = self.get(&path, call.limit.duration()).await?;
         if status == StatusCode::GONE {
             return Ok(None);
         }
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -9,8 +9,6 @@
 use chervilquay::member::watch::is_needed;
 use chervilquay::time::Millis;
 
-const WAIT: Millis = Millis(4_600);
-
 fn name(index: usize) -> String {
     format!("e{index:02}")
 }
@@ -71,6 +69,42 @@
     assert!(!is_needed(now, &name(9), "z", &peers));
 }
 
+/// Guards against a reader that sends its first call to a store that has just
+/// returned from silence too early, waits for its answer for seconds, and has
+/// no configuration in force by then. A call is lost when the store is silent
+/// at any time of it. Calls of a process in touch must be answered again when
+/// the store has been sound for three seconds.
+#[test]
+fn return_from_silence_is_seen() {
+    for seed in 0..2_000 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let silent = rng.u64(5_000..9_000);
+        let back = silent + rng.u64(50..9_000);
+        // Some stores answer sixty times as slowly as usual.
+        let delay = if rng.bool() { 4 } else { 240 };
+        let mut watch = Watch::default();
+        let mut now = 0;
+        let seen = loop {
+            now += watch.rest(Millis(now)).0;
+            let call = watch.call();
+            let end = now + call.wait.0 + delay;
+            let is_lost = now < back && end > silent;
+            if is_lost || end > now + call.limit.0 {
+                now += call.limit.0;
+                watch.failed();
+                now += rng.u64(watch.backoff().0 / 2..=watch.backoff().0);
+            } else {
+                now = end;
+                watch.answered(Millis(now));
+                if now > back {
+                    break now;
+                }
+            }
+        };
+        assert!(seen <= back + 3_000, "seed {seed}: {} ms late", seen - back);
+    }
+}
+
 /// Guards against one call for each of the changes that come in a burst: a
 /// release of nine runners makes some fifty changes in two seconds.
 #[test]
@@ -96,17 +130,17 @@
 #[test]
 fn overtaken_reading_is_not_sound() {
     let mut watch = Watch::default();
-    assert!(!watch.is_sound(Millis(1), WAIT));
+    assert!(!watch.is_sound(Millis(1)));
     watch.answered(Millis(1_000));
-    assert!(watch.is_sound(Millis(5_000), WAIT));
-    assert!(!watch.is_sound(Millis(5_700), WAIT));
+    assert!(watch.is_sound(Millis(3_400)));
+    assert!(!watch.is_sound(Millis(4_200)));
     watch.answered(Millis(6_000));
     watch.told(Millis(6_100));
     watch.told(Millis(6_600));
-    assert!(watch.is_sound(Millis(6_600), WAIT));
-    assert!(!watch.is_sound(Millis(6_800), WAIT));
+    assert!(watch.is_sound(Millis(6_600)));
+    assert!(!watch.is_sound(Millis(6_800)));
     watch.answered(Millis(6_900));
-    assert!(watch.is_sound(Millis(7_500), WAIT));
+    assert!(watch.is_sound(Millis(7_500)));
     watch.failed();
-    assert!(!watch.is_sound(Millis(7_500), WAIT));
+    assert!(!watch.is_sound(Millis(7_500)));
 }
