--- a/src/bench/place/load.rs
+++ b/src/bench/place/load.rs
@@ -74,10 +74,14 @@
         ("reload", Pattern::Reload),
     ];
 
-    /// The pattern with this name.
+    /// The pattern with this name; `steady-` goes with any load from 0.01 to 10.
     pub fn named(name: &str) -> Option<Pattern> {
         let found = Pattern::ALL.iter().find(|(n, _)| *n == name);
-        found.map(|(_, pattern)| *pattern)
+        found.map(|(_, pattern)| *pattern).or_else(|| {
+            let load: f64 = name.strip_prefix("steady-")?.parse().ok()?;
+            let is_usable = (0.01..=10.0).contains(&load);
+            is_usable.then_some(Pattern::Steady((100.0 * load).round() as u32))
+        })
     }
 
     fn load(self, at: f64) -> f64 {
--- a/src/cmd/bench/place.rs
+++ b/src/cmd/bench/place.rs
@@ -16,7 +16,8 @@
     example = "{command_name} --load steady-1.5 --seed 1"
 )]
 pub struct Args {
-    /// load pattern; all of them when none is named
+    /// load pattern, or `steady-` and a load relative to the capacity; all
+    /// patterns when none is named
     #[argh(option)]
     load: Option<String>,
     /// seed of the load
@@ -30,13 +31,15 @@
 /// Runs the experiment.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     eyre::ensure!(args.format == "json", "format must be json");
-    if let Some(name) = &args.load {
-        eyre::ensure!(Pattern::named(name).is_some(), "no load pattern {name}");
-    }
-    for (name, pattern) in Pattern::ALL {
-        if args.load.as_deref().is_some_and(|wanted| wanted != name) {
-            continue;
+    let patterns = match &args.load {
+        None => Pattern::ALL.to_vec(),
+        Some(name) => {
+            let pattern = Pattern::named(name);
+            let pattern = pattern.ok_or_else(|| eyre::eyre!("no load pattern {name}"))?;
+            vec![(name.as_str(), pattern)]
         }
+    };
+    for (name, pattern) in patterns {
         for (label, policy) in POLICIES {
             let summary = place::run(pattern, policy, args.seed);
             println!("{}", summary.json(label, name, args.seed));
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -177,3 +177,37 @@
         assert_eq!(send(&mut placer, now, Outcome::Done).as_deref(), Some("b"));
     }
 }
+
+/// Guards against a herd from many entries of other zones, which tell nothing
+/// of their calls: what the agent reports and what was sent since must count,
+/// and no more once a newer report has come.
+#[test]
+fn reports_count_calls_of_other_zones() {
+    let mut placer = placer(&[member("a", 1), member("b", 1)]);
+    let report = |calls: u32, at: u64| Status {
+        holdings: holdings(1),
+        busy: false,
+        calls,
+        pace: 1.0,
+        at: Millis(at),
+        turn: None,
+    };
+    placer.on_status("a", report(16, 1_000));
+    placer.on_status("b", report(13, 1_000));
+    let mut sent = [0, 0];
+    for at in 1_001..1_009 {
+        let now = Millis(at);
+        if let Choice::Send { target, first } = placer.choose(now, &want(0), &[]) {
+            let is_first = placer.get(target).is_some_and(|t| t.entry.id == "a");
+            sent[usize::from(!is_first)] += 1;
+            placer.sent(now, target, &want(0), first);
+        }
+    }
+    assert!(sent[1] >= 3, "the freer one comes first: {sent:?}");
+    assert!(sent[0] + sent[1] < 8, "both are full: {sent:?}");
+    placer.on_status("a", report(2, 1_010));
+    let Choice::Send { target, .. } = placer.choose(Millis(1_011), &want(0), &[]) else {
+        panic!("a has room");
+    };
+    assert!(placer.get(target).is_some_and(|t| t.entry.id == "a"));
+}
