member: The time for lapsed entries cannot be prolonged from peer to peer

Cause: each process that takes changes counted the time left from their arrival, so processes that fetch from each other all the time kept each other at two seconds for ever: while changes are frequent, removed runners stayed in use for two seconds after each removal. Change: the receiver takes off the whole time since it asked.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -183,10 +183,11 @@
             if clients.len() >= MAX_CLIENTS {
                 clients.clear();
             }
+            let asked = node.now();
             let client = clients.entry(ip).or_insert_with(|| peer_client(&node, ip));
             match fetch(client, at).await {
                 Ok(doc) => {
-                    let left = Millis(u64::from(doc.left));
+                    let left = doc.left(node.now().since(asked));
                     if !doc.docs.is_empty() {
                         node.world().watch.told(node.now());
                     }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -207,6 +207,14 @@
         }
     }
 
+    /// Time for which missing entries are kept, `took` after it was asked for.
+    ///
+    /// The whole time is taken off, though the answer was made within it:
+    /// processes that fetch from each other would else prolong it for ever.
+    pub fn left(&self, took: Millis) -> Millis {
+        Millis(u64::from(self.left)).since(took)
+    }
+
     /// The changes.
     pub fn delta(self) -> Delta {
         let doc = |key: KeyDoc| Doc {
--- a/tests/world_lapse.rs
+++ b/tests/world_lapse.rs
@@ -1,6 +1,7 @@
 //! Beliefs of a process: outages of the store, bad entries, versions.
 
 use bytes::Bytes;
+use chervilquay::direct::wire::DeltaDoc;
 use chervilquay::direct::world::Change;
 use chervilquay::direct::world::World;
 use chervilquay::table::replica::Delta;
@@ -162,6 +163,15 @@
             CALM,
         );
     }
+    // Two processes that fetch from each other all the time.
+    let mut left = Millis(2_000);
+    for round in 0..200 {
+        let now = Millis(100 + 20 * round);
+        let doc = DeltaDoc::new(put("other", 1, None), left);
+        first.apply(now, BOUND, doc.clone().delta(), doc.left(Millis(20)));
+        left = first.lapse_left(now);
+    }
+    assert_eq!(left, CALM);
     let removed = || put("servers/a", 2, None);
     let changes = first.apply(Millis(5_000), BOUND, removed(), Millis(1_500));
     assert_eq!(changes, vec![Change::Lapsed("a".to_string())]);
