--- a/src/platform/standin.rs
+++ b/src/platform/standin.rs
@@ -104,6 +104,8 @@
     pub kind: &'a str,
     /// Pool that serves it.
     pub pool: &'a str,
+    /// Upstreams that may run a request.
+    pub attempts: u32,
 }
 
 /// Key of the configuration, and its document with these routes.
@@ -111,7 +113,7 @@
     let docs = routes.iter().map(|route| {
         json!({"name": route.name, "host": "h.example", "prefix": format!("/{}/", route.name),
             "kind": route.kind, "timeout_ms": 5000, "slo_ms": 500, "priority": 1,
-            "service": route.pool, "max_attempts": 2, "public": false,
+            "service": route.pool, "max_attempts": route.attempts, "public": false,
             "resumable": route.kind == "streaming", "gap_target_ms": 400})
     });
     let mut pools: Vec<&str> = routes.iter().map(|route| route.pool).collect();
@@ -122,24 +124,22 @@
         .map(|name| json!({"name": name, "health_path": "/health", "max_conns": 400}));
     let doc = json!({"version": version, "routes": docs.collect::<Vec<_>>(),
         "services": pools.collect::<Vec<_>>(),
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "owner", "api_keys": ["key"]}]});
     (config::KEY, doc)
 }
 
-/// Key and document of a runner's entry.
-pub fn registered(
-    id: &str,
-    pool: &str,
-    addr: SocketAddr,
-    born: u64,
-    ready: bool,
-) -> (String, Value) {
+/// Key of a runner's entry.
+pub fn runner_key(id: &str) -> String {
+    format!("{}{id}", registry::PREFIX)
+}
+
+/// Document of a runner's entry.
+pub fn registered(pool: &str, addr: SocketAddr, born: u64, ready: bool) -> Value {
     let state = if ready { "ready" } else { "draining" };
-    let doc = json!({"service": pool, "address": addr.to_string(), "zone": "z",
-        "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1, "born": born});
-    (format!("{}{id}", registry::PREFIX), doc)
+    json!({"service": pool, "address": addr.to_string(), "zone": "z",
+        "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1, "born": born})
 }
 
 /// Settings of an entry process on `ip`, as the platform writes them.
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -93,7 +93,12 @@
     /// Puts a configuration in force; the pool of the route `moves` alternates.
     pub fn configure(&self, version: u64) {
         let pool = POOLS[(version % 2) as usize];
-        let route = |name, kind, pool| RouteSpec { name, kind, pool };
+        let route = |name, kind, pool| RouteSpec {
+            name,
+            kind,
+            pool,
+            attempts: 2,
+        };
         let routes = [
             route("safe", "idempotent", POOLS[0]),
             route("once", "non_idempotent", POOLS[1]),
--- a/src/soak/upstream.rs
+++ b/src/soak/upstream.rs
@@ -86,8 +86,8 @@
 
     fn register(&self, world: &World, ready: bool) {
         let born = *lock(&self.born);
-        let (key, doc) = standin::registered(&self.id, self.pool, self.link.addr(), born, ready);
-        world.store.put(&key, Some(&doc));
+        let doc = standin::registered(self.pool, self.link.addr(), born, ready);
+        world.store.put(&standin::runner_key(&self.id), Some(&doc));
     }
 
     /// Reports that it leaves, goes on for a while, and ends.
@@ -118,8 +118,7 @@
     }
 
     fn remove(&self, world: &World) {
-        let (key, _) = standin::registered(&self.id, self.pool, self.link.addr(), 0, false);
-        world.store.put(&key, None);
+        world.store.put(&standin::runner_key(&self.id), None);
     }
 
     async fn answer(&self, world: &World, request: Request<Incoming>) -> Response<BoxBody> {
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -20,6 +20,8 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use chervilquay::platform::standin;
+use chervilquay::platform::standin::RouteSpec;
 use serde_json::json;
 
 /// Longest wait for something that must happen; generous, as only its absence
@@ -297,11 +299,7 @@
     pub fn start(ip: Ipv4Addr, store: SocketAddr) -> Entry {
         let port = |number: u16| SocketAddr::from((ip, number));
         let (callers, ready) = (port(18_005), port(18_002));
-        let text = format!(
-            "node_name=front-{ip}\nip={ip}\nzone=z\nzones.z=r\nlisten.front={callers}\nlisten.ready={ready}\nlisten.control={}\ninternal_ports=17700,17715\nseeds={}\nbounds.grace_s=8\nbounds.retry_slack=102\nplatform.address={store}\n",
-            port(18_000),
-            port(18_000),
-        );
+        let text = standin::entry_settings(ip.into(), &[port(18_000)], store);
         let settings = std::env::temp_dir().join(format!("chervilquay-{ip}.conf"));
         std::fs::write(&settings, text).unwrap();
         let log = settings.with_extension("log");
@@ -387,22 +385,21 @@
 
 /// A configuration with a route of each kind.
 pub fn config(version: u64) -> serde_json::Value {
-    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
-        json!({"name": name, "host": "h.example", "prefix": prefix, "kind": kind,
-            "timeout_ms": 5000, "slo_ms": 500, "priority": 1, "service": "s",
-            "max_attempts": attempts, "public": false, "resumable": kind == "streaming",
-            "gap_target_ms": 400})
+    let route = |name, kind, attempts| RouteSpec {
+        name,
+        kind,
+        pool: "s",
+        attempts,
     };
-    json!({"version": version,
-        "routes": [route("safe", "/safe/", "idempotent", 2), route("once", "/once/", "non_idempotent", 1),
-            route("stream", "/stream/", "streaming", 2)],
-        "services": [{"name": "s", "health_path": "/health", "max_conns": 100}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "owner", "api_keys": ["key"]}]})
+    let routes = [
+        route("safe", "idempotent", 2),
+        route("once", "non_idempotent", 1),
+        route("stream", "streaming", 2),
+    ];
+    standin::config(version, &routes).1
 }
 
 /// A runner's entry in the store.
 pub fn registered(addr: SocketAddr) -> serde_json::Value {
-    json!({"service": "s", "address": addr.to_string(), "zone": "z", "version": "v1",
-        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1})
+    standin::registered("s", addr, 1, true)
 }
