rollout: Log and count answers from versions that expire

The logs could not tell from which version a request was answered, how long before the expiry it began, nor which sends ended because the version ran out. A stream's first event now gives a line when the runner's version expires within a second or has expired, with the time that was left, and a counter for those after the expiry; a send that ends for this says so.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -78,6 +78,9 @@
 /// with all others once there are so many.
 const MAX_ROUTES: usize = 4_096;
 
+/// Time before the expiry of a version from which answers made from it are logged.
+const EXPIRY_NOTICE: Millis = Millis(1_000);
+
 /// Least part of its time that a caller waits after a refusal.
 const RETRY_SHARE: f64 = 1.0 / 3.0;
 
@@ -337,6 +340,29 @@
         }
     }
 
+    /// Notes the first event of a stream, and the version that it was made from.
+    ///
+    /// Only answers from a version that is about to expire, or has, are logged.
+    pub fn began(&self, job: &Job, target: Key<Target>, version: Option<u64>) {
+        let (Some(version), Some(model)) = (version, &job.want.model) else {
+            return;
+        };
+        let now = self.node.now();
+        let bound = self.node.settings().rollout;
+        let expiry = self.node.world().versions.expiry(bound, model, version);
+        let Some(expiry) = expiry.filter(|at| now.plus(EXPIRY_NOTICE) >= *at) else {
+            return;
+        };
+        if now >= expiry {
+            self.node.metrics().count(Metric::VersionExpired, 1);
+        }
+        if self.node.journal().admits(now, Kind::Version) {
+            info!(self.node.journal().log(), "rollout: answered from a version that expires";
+                "request" => &job.call.id, "upstream" => self.upstream(target), "version" => version,
+                "left_ms" => expiry.0 as i64 - now.0 as i64, "age_ms" => now.since(job.arrived).0);
+        }
+    }
+
     /// Notes a caller that left in the middle of a stream.
     pub fn left(&self, job: &Job, last: Option<u64>) {
         let now = self.node.now();
--- a/src/direct/journal.rs
+++ b/src/direct/journal.rs
@@ -42,10 +42,12 @@
     Belief,
     /// Weights: pieces, orders, loads.
     Weights,
+    /// An answer from a version that is about to expire, or has.
+    Version,
 }
 }
 
-const KINDS: [Kind; 8] = [
+const KINDS: [Kind; 9] = [
     Kind::Answered,
     Kind::Late,
     Kind::Refused,
@@ -54,6 +56,7 @@
     Kind::Left,
     Kind::Belief,
     Kind::Weights,
+    Kind::Version,
 ];
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -297,11 +297,17 @@
     } else {
         left
     };
-    let limit = limit.min(entry.version_left(now, target, job.want.model.as_deref()));
+    let current = entry.version_left(now, target, job.want.model.as_deref());
+    let cause = if current < limit {
+        "its version expires"
+    } else {
+        "no answer"
+    };
+    let limit = limit.min(current);
     let exchange = exchange(entry, job, &client, request, target, &mut flight);
     let overdue = async {
         smol::Timer::after(Duration::from_millis(limit as u64)).await;
-        let detail = format!("no answer within {limit:.0} ms");
+        let detail = format!("{cause} within {limit:.0} ms");
         Err(Error::new(Code::UpstreamLost, detail).with_run(Run::Unknown))
     };
     match exchange.or(overdue).await {
@@ -444,6 +450,7 @@
         let mut framer = Framer::default();
         let events = first_events(&mut body, &mut framer).await?;
         flight.begun();
+        entry.began(job, target, reply.version);
         let content = Part::Stream {
             body,
             framer,
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -82,6 +82,7 @@
     StoreTotal = "store.total", Counter, "calls", "code", "calls to the platform's store, by result code, 0 for an answer";
     LogLeftOut = "log.left_out", Counter, "lines", "", "log lines beyond the bound of their kind";
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
+    VersionExpired = "version.expired", Counter, "answers", "", "streams whose first event came after the expiry of the version that they were made from";
     TableRevision = "table.revision", Gauge, "revision", "", "revision of the set in force, 0 for none";
     TableRefused = "table.refused", Gauge, "sets", "", "1 while newer tables are refused, else 0";
     WeightsHeld = "weights.held_bytes", Gauge, "bytes", "", "bytes of verified chunks in memory";
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,7 @@
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const VERSION: HeaderName = HeaderName::from_static("x-weight-versions");
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -169,6 +170,8 @@
     pub not_run: bool,
     /// Load of the runner, where it tells it.
     pub load: Option<Load>,
+    /// Version of the weights that the answer is made from.
+    pub version: Option<u64>,
 }
 }
 
@@ -187,6 +190,7 @@
         id: text(headers, REQUEST_ID).map(str::to_string),
         not_run: headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST,
         load,
+        version: number(headers, VERSION),
     }
 }
 
