route: Send only what begins before its version expires

The time was looked at once, at the send: a version that was named, or dated earlier, while a request waited did not count.

Change: an older version takes a request only if twice its predicted wait, and 400 ms for the way, end before its expiry; while a request waits, the time is looked at again twice a second. Where the version that a runner holds is not known, the least that may still answer is taken, not one without a bound.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -150,7 +150,10 @@
             let (Some(entry), Some(routing)) = (held.upgrade(), world.routing()) else {
                 return;
             };
-            entry.placer().set_members(world.members.values(), routing);
+            let bound = entry.node.settings().rollout;
+            let mut placer = entry.placer();
+            placer.set_members(world.members.values(), routing);
+            placer.set_versions(world.versions.clone(), bound);
         });
         entry
     }
@@ -174,21 +177,23 @@
         client.clone()
     }
 
-    /// Time for which a request may still begin at an upstream, in milliseconds:
-    /// a version that was replaced must not answer after its bound, however
-    /// long the request has waited in the runner's queue.
-    pub fn version_left(&self, now: Millis, target: Key<Target>, model: Option<&str>) -> f64 {
-        let Some(model) = model else {
-            return f64::INFINITY;
-        };
-        let held = self
-            .placer()
-            .get(target)
-            .and_then(|t| t.version(now, model));
+    /// Version that an upstream answers from, or the least that may answer when
+    /// that is not known.
+    pub fn version(&self, now: Millis, target: Key<Target>, model: &str) -> u64 {
+        let bound = self.node.settings().rollout;
+        let least = self.node.world().versions.least(now, bound, model);
+        let placer = self.placer();
+        let held = placer.get(target).and_then(|t| t.version(now, model));
+        held.unwrap_or(least)
+    }
+
+    /// Time for which a request may still wait at an upstream that holds this
+    /// version: one that was replaced must not answer after its bound.
+    pub fn version_left(&self, now: Millis, model: &str, held: u64) -> Option<Millis> {
         let bound = self.node.settings().rollout;
         let world = self.node.world();
-        let expiry = held.and_then(|version| world.versions.cancel_at(bound, model, version));
-        expiry.map_or(f64::INFINITY, |at| at.since(now).0 as f64)
+        let expiry = world.versions.cancel_at(bound, model, held);
+        expiry.map(|at| at.since(now))
     }
 
     /// Name of an upstream, for the log.
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -1,7 +1,5 @@
 //! Sends of one request: to an upstream, and to another if the first did not run it.
 
-use std::time::Duration;
-
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -48,6 +46,9 @@
 /// not run the request; more would use up the budget of all others.
 const EXTRA_SENDS: u32 = 1;
 
+/// Interval at which the time that is left to an upstream's version is looked at.
+const VERSION_CHECK: Millis = Millis(500);
+
 /// Largest answer that is held whole.
 const MAX_ANSWER: usize = 16 << 20;
 
@@ -297,19 +298,9 @@
     } else {
         left
     };
-    let current = entry.version_left(now, target, job.want.model.as_deref());
-    let cause = if current < limit {
-        "its version expires"
-    } else {
-        "no answer"
-    };
-    let limit = limit.min(current);
+    let overdue = overdue(entry, job, target, now.plus(Millis(limit as u64)));
     let exchange = exchange(entry, job, &client, request, target, &mut flight);
-    let overdue = async {
-        smol::Timer::after(Duration::from_millis(limit as u64)).await;
-        let detail = format!("{cause} within {limit:.0} ms");
-        Err(Error::new(Code::UpstreamLost, detail).with_run(Run::Unknown))
-    };
+    let overdue = async { Err(overdue.await) };
     match exchange.or(overdue).await {
         Ok(Reached::Answer(head)) => {
             if matches!(head.content, Part::Whole(_)) {
@@ -337,6 +328,31 @@
     }
 }
 
+/// Waits until the upstream's answer is overdue, or may no longer begin.
+///
+/// The time that its version has left is looked at again, as a newer version
+/// may be named, or dated earlier, while the request waits.
+async fn overdue(entry: &Entry, job: &Job, target: Key<Target>, end: Millis) -> Error {
+    let sent = entry.node.now();
+    let model = job.want.model.as_deref();
+    let held = model.map(|model| (model, entry.version(sent, target, model)));
+    let cause = loop {
+        let now = entry.node.now();
+        let left = held.and_then(|(model, version)| entry.version_left(now, model, version));
+        if left == Some(Millis(0)) {
+            break "its version expires";
+        }
+        if now >= end {
+            break "no answer";
+        }
+        let wait = end.since(now).min(left.unwrap_or(VERSION_CHECK));
+        smol::Timer::after(wait.min(VERSION_CHECK).duration()).await;
+    };
+    let waited = entry.node.now().since(sent).0;
+    let detail = format!("{cause} within {waited} ms");
+    Error::new(Code::UpstreamLost, detail).with_run(Run::Unknown)
+}
+
 fn prepare(
     entry: &Entry,
     job: &Job,
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -13,6 +13,7 @@
 use crate::member::registry;
 use crate::member::registry::Registration;
 use crate::prelude::*;
+use crate::rollout::versions::Versions;
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
 use crate::route::recovery::Recovery;
@@ -103,6 +104,13 @@
 /// preferred, and none is closed while it still takes work.
 const MAX_OVERRUN_MS: f64 = 150.0;
 
+/// Multiple of the predicted time within which a request begins on a runner
+/// whose pace changes meanwhile.
+const BEGIN_FACTOR: f64 = 2.0;
+
+/// Time for the way to a runner, in milliseconds, before its version expires.
+const BEGIN_MARGIN_MS: f64 = 400.0;
+
 /// Time between the prediction and the caller: parsing, links, wake-ups.
 const OVERHEAD_MS: f64 = 12.0;
 
@@ -238,6 +246,8 @@
     hashes: IndexMap<u64, Key<Target>>,
     calls: Arena<Call>,
     plain: IndexMap<String, f64>,
+    versions: Versions,
+    bound: Millis,
     rng: Rng,
 }
 
@@ -251,6 +261,8 @@
             hashes: IndexMap::new(),
             calls: Arena::default(),
             plain: IndexMap::new(),
+            versions: Versions::default(),
+            bound: Millis(0),
             rng: Rng::with_seed(seed),
         }
     }
@@ -282,6 +294,13 @@
         }
     }
 
+    /// Takes over the versions that were named; an older one expires `bound`
+    /// after the naming of the next.
+    pub fn set_versions(&mut self, versions: Versions, bound: Millis) {
+        self.versions = versions;
+        self.bound = bound;
+    }
+
     fn set_member(&mut self, member: &Registration, routing: &Routing) {
         let engine = routing.pool(&member.pool).and_then(|p| p.engine.clone());
         let engine = engine.map(Arc::new);
@@ -394,6 +413,9 @@
                 continue;
             }
             let first = target.predict(now, want, work);
+            if !self.begins(now, want, target, first) {
+                continue;
+            }
             if target.recovery.is_open(now, target.own.calls) {
                 found.push((first, key));
             } else if resting.is_none_or(|(until, _, _)| target.recovery.until() < until) {
@@ -437,6 +459,20 @@
         Choice::Send { target, first }
     }
 
+    /// True when a request begins at an upstream before its version expires.
+    ///
+    /// A request that waits there cannot always be taken back: some runners do
+    /// not notice that its connection was closed.
+    fn begins(&self, now: Millis, want: &Want, target: &Target, first: f64) -> bool {
+        let Some(model) = &want.model else {
+            return true;
+        };
+        let held = target.version(now, model);
+        let expiry = held.and_then(|held| self.versions.expiry(self.bound, model, held));
+        let span = BEGIN_MARGIN_MS + BEGIN_FACTOR * first;
+        expiry.is_none_or(|at| at.since(now).0 as f64 >= span)
+    }
+
     /// Share of the places of these upstreams that are free.
     fn spare_share(&self, now: Millis, found: &[(f64, Key<Target>)]) -> f64 {
         let targets = found.iter().filter_map(|(_, key)| self.targets.get(*key));
