place: Send nothing new to an upstream that says it is leaving

A runner that leaves says so in all its answers (`Server-Leaving`), and no request that comes later than the drain time may reach it from an entry that passed such an answer on. The header was not read: the entry went on choosing the runner until the registry listed it as draining or removed it, which some runners' entries never say in time.

The adapter decodes the header from any answer that belongs to the request. The placement notes it for the incarnation (id and `born`) that the call was sent to, apart from the registry's own state, which later entries overwrite. The words of the last 512 incarnations outlive their entries, so that one that is removed and registered again stays out. Another `born` starts clean, also when an answer of the earlier incarnation comes after it. Calls in progress go on; a stream that is resumed is placed by the same choice. One log line tells when an entry first learns it.

Ruled out: to set the target's own `leaving`, as the next entry of the registry, or its return after a removal, would undo it; and to key the word by the target, which outlives a restart under the same id.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -40,6 +40,7 @@
 use crate::net::server;
 use crate::once::Print;
 use crate::platform::headers;
+use crate::platform::headers::Reply;
 use crate::prelude::*;
 use crate::retry::Refused;
 use crate::retry::Repeats;
@@ -114,6 +115,18 @@
         self.entry.placer().begun(now, self.call);
     }
 
+    /// Takes what the head of the answer says of the upstream itself.
+    pub fn heard(&self, reply: &Reply) {
+        if !reply.leaving {
+            return;
+        }
+        let learned = self.entry.placer().on_leaving(self.call);
+        if let Some(upstream) = learned {
+            let now = self.entry.node.now();
+            self.entry.node.journal().leaving(now, &upstream);
+        }
+    }
+
     /// Sets how the call ends; without it the call counts as given up.
     pub fn outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/src/direct/journal.rs
+++ b/src/direct/journal.rs
@@ -128,6 +128,13 @@
         }
     }
 
+    /// An upstream that has said in an answer that it is leaving.
+    pub fn leaving(&self, now: Millis, upstream: &str) {
+        if self.admits(now, Kind::Belief) {
+            info!(self.log, "member: upstream is leaving"; "upstream" => upstream, "source" => "answer");
+        }
+    }
+
     /// A change of belief, with the revision that it came with.
     pub fn change(&self, now: Millis, revision: u64, change: &Change, source: &str) {
         if !self.admits(now, Kind::Belief) {
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -425,6 +425,7 @@
     if !is_own {
         return Err(lost(format!("answer to {:?}", reply.id)));
     }
+    flight.heard(&reply);
     let now = entry.node.now();
     if let Some(load) = &reply.load {
         entry.placer().on_pace(now, target, load.pace);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,7 @@
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -169,6 +170,8 @@
     pub not_run: bool,
     /// Load of the runner, where it tells it.
     pub load: Option<Load>,
+    /// True when the runner says that it is leaving.
+    pub leaving: bool,
 }
 }
 
@@ -187,6 +190,7 @@
         id: text(headers, REQUEST_ID).map(str::to_string),
         not_run: headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST,
         load,
+        leaving: headers.get(LEAVING).is_some_and(|value| value != "0"),
     }
 }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod flight;
 pub mod hedge;
+pub mod notice;
 pub mod place;
 pub mod recovery;
 pub mod reorder;
--- /dev/null
+++ b/src/route/notice.rs
@@ -0,0 +1,53 @@
+//! What upstreams say of themselves in their answers.
+//!
+//! Answers planned departures: an upstream that leaves says so in its answers
+//! before or without a word in the registry, and ends soon after. Its word holds
+//! whatever the registry says later of the same incarnation.
+
+use crate::prelude::*;
+
+/// Incarnations whose word is remembered, the latest ones. An entry that is
+/// removed and comes back does so within seconds, in which far fewer leave.
+const MAX_INCARNATIONS: usize = 512;
+
+common! { key
+/// One start of an upstream.
+pub struct Start {
+    /// Hash of its id.
+    pub hash: u64,
+    /// When it started, by its own wall clock; 0 when it did not say.
+    pub born: u64,
+}
+}
+
+common! { key
+/// The word of one incarnation.
+#[derive(Default)]
+pub struct Notice {
+    /// True once it has said that it is leaving; it is never taken back.
+    pub leaving: bool,
+}
+}
+
+/// The words of many incarnations, some of them no longer registered.
+#[derive(Clone, Debug, Default)]
+pub struct Notices {
+    held: IndexMap<Start, Notice>,
+}
+
+impl Notices {
+    /// The word of an incarnation; the default when nothing is known.
+    pub fn get(&self, start: Start) -> Notice {
+        self.held.get(&start).copied().unwrap_or_default()
+    }
+
+    /// Remembers the word of an incarnation; beyond the bound, the one that was
+    /// updated first is forgotten.
+    pub fn set(&mut self, start: Start, notice: Notice) {
+        self.held.shift_remove(&start);
+        if self.held.len() >= MAX_INCARNATIONS {
+            self.held.shift_remove_index(0);
+        }
+        self.held.insert(start, notice);
+    }
+}
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -15,6 +15,9 @@
 use crate::prelude::*;
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
+use crate::route::notice::Notice;
+use crate::route::notice::Notices;
+use crate::route::notice::Start;
 use crate::route::recovery::Recovery;
 use crate::table::routing::Routing;
 use crate::util;
@@ -189,6 +192,7 @@
     delay: f64,
     remote: bool,
     leaving: bool,
+    notice: Notice,
     own: Load,
     others: IndexMap<String, (Millis, Load)>,
     /// When this entry sent its latest requests there.
@@ -223,6 +227,7 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     target: Key<Target>,
+    born: u64,
     sent: Millis,
     unread: f64,
     predicted: f64,
@@ -238,6 +243,7 @@
     hashes: IndexMap<u64, Key<Target>>,
     calls: Arena<Call>,
     plain: IndexMap<String, f64>,
+    notices: Notices,
     rng: Rng,
 }
 
@@ -251,6 +257,7 @@
             hashes: IndexMap::new(),
             calls: Arena::default(),
             plain: IndexMap::new(),
+            notices: Notices::default(),
             rng: Rng::with_seed(seed),
         }
     }
@@ -294,6 +301,10 @@
             if target.entry != *member {
                 target.wrong = None;
             }
+            if target.entry.born != member.born {
+                let (hash, born) = (target.hash, member.born);
+                target.notice = self.notices.get(Start { hash, born });
+            }
             if target.entry.born != member.born || target.entry.addr != member.addr {
                 // Another incarnation owes nothing to what the earlier one did.
                 target.recovery = Recovery::default();
@@ -306,6 +317,7 @@
             return;
         }
         let hash = util::stable_hash([member.id.as_str()]);
+        let born = member.born;
         let key = self.targets.insert(Target {
             entry: member.clone(),
             hash,
@@ -313,6 +325,7 @@
             delay,
             remote: member.zone != self.zone,
             leaving: member.draining,
+            notice: self.notices.get(Start { hash, born }),
             own: Load::default(),
             others: IndexMap::new(),
             recent: VecDeque::new(),
@@ -357,6 +370,38 @@
         }
     }
 
+    /// Takes the word that came with an answer to a call: that its upstream is
+    /// leaving. Returns its id when that is new.
+    pub fn on_leaving(&mut self, key: Key<Call>) -> Option<String> {
+        let (target, was) = self.note(key, |notice| notice.leaving = true)?;
+        (!was.leaving).then(|| target.entry.id.clone())
+    }
+
+    /// Changes what is known of the incarnation that a call was sent to; the
+    /// entry may be of a later one by now. Returns what was known before.
+    fn note(
+        &mut self,
+        key: Key<Call>,
+        change: impl FnOnce(&mut Notice),
+    ) -> Option<(&Target, Notice)> {
+        let call = self.calls.get(key)?;
+        let target = self.targets.get_mut(call.target)?;
+        let (hash, born) = (target.hash, call.born);
+        let is_current = target.entry.born == born;
+        let was = if is_current {
+            target.notice
+        } else {
+            self.notices.get(Start { hash, born })
+        };
+        let mut notice = was;
+        change(&mut notice);
+        if is_current {
+            target.notice = notice;
+        }
+        self.notices.set(Start { hash, born }, notice);
+        Some((target, was))
+    }
+
     /// Takes the calls of another entry, as pairs of an upstream's hash and
     /// its calls with the reading time that they have left.
     pub fn on_loads(&mut self, now: Millis, peer: &str, loads: &[(u64, u32, f64)]) {
@@ -449,8 +494,9 @@
 
     /// Counts a call that is sent.
     pub fn sent(&mut self, now: Millis, key: Key<Target>, want: &Want, first: f64) -> Key<Call> {
-        let mut unread = 0.0;
+        let (mut unread, mut born) = (0.0, 0);
         if let Some(target) = self.targets.get_mut(key) {
+            born = target.entry.born;
             unread = target
                 .engine
                 .as_ref()
@@ -464,6 +510,7 @@
         }
         self.calls.insert(Call {
             target: key,
+            born,
             sent: now,
             unread,
             predicted: first,
@@ -552,7 +599,7 @@
 impl Target {
     /// True when it takes requests now.
     pub fn is_open(&self, now: Millis) -> bool {
-        !self.leaving && self.recovery.is_open(now, self.own.calls)
+        !self.is_leaving() && self.recovery.is_open(now, self.own.calls)
     }
 
     /// What the prediction was made from, for the log.
@@ -577,7 +624,7 @@
             "id": self.entry.id,
             "pool": self.entry.pool,
             "zone": self.entry.zone,
-            "leaving": self.leaving,
+            "leaving": self.is_leaving(),
             "own": self.own.calls,
             "calls": load.calls,
             "unread_ms": load.unread,
@@ -589,9 +636,14 @@
         })
     }
 
+    /// True when the registry or its own answers say that it is leaving.
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.notice.leaving
+    }
+
     /// True when it may take the request at all.
     fn serves(&self, now: Millis, want: &Want) -> bool {
-        if self.entry.pool != want.pool || self.leaving {
+        if self.entry.pool != want.pool || self.is_leaving() {
             return false;
         }
         let Some(engine) = &self.engine else {
--- /dev/null
+++ b/tests/place_leaving.rs
@@ -0,0 +1,149 @@
+//! Upstreams that say in their answers that they are leaving.
+
+mod support;
+
+use std::net::Ipv4Addr;
+
+use chervilquay::arena::Key;
+use chervilquay::member::registry::Registration;
+use chervilquay::route::notice::Notice;
+use chervilquay::route::notice::Notices;
+use chervilquay::route::notice::Start;
+use chervilquay::route::place::Call;
+use chervilquay::route::place::Choice;
+use chervilquay::route::place::Outcome;
+use chervilquay::route::place::Placer;
+use chervilquay::route::place::Status;
+use chervilquay::time::Millis;
+use support::placing;
+use support::prepared;
+use support::prepared::Act;
+use support::prepared::Entry;
+use support::prepared::Runner;
+use support::prepared::Store;
+use support::prepared::request;
+
+const LEAVING: (&str, &str) = ("Server-Leaving", "1");
+const NOT_RUN: (&str, &str) = ("X-Not-Run", "1");
+const NOW: Millis = Millis(1_000);
+const EVENT: &str = "id: 1\ndata: e1\n\n";
+
+fn send(placer: &mut Placer) -> Option<Key<Call>> {
+    let Choice::Send { target, first } = placer.choose(NOW, &placing::want(), &[]) else {
+        return None;
+    };
+    Some(placer.sent(NOW, target, &placing::want(), first))
+}
+
+fn set(placer: &mut Placer, members: &[Registration]) {
+    placer.set_members(members, &placing::routing());
+}
+
+/// Guards against work for an upstream that has said that it is leaving, after
+/// later words on the same incarnation: of the registry, which lists it as
+/// ready, drops it and has it again, and of its agent.
+#[test]
+fn later_words_do_not_bring_it_back() {
+    let mut placer = placing::placer(&[placing::member("a", 1)]);
+    let call = send(&mut placer).expect("a is open");
+    assert_eq!(placer.on_leaving(call).as_deref(), Some("a"));
+    assert_eq!(placer.on_leaving(call), None, "it is no news");
+    assert_eq!(send(&mut placer), None);
+    set(&mut placer, &[placing::member("a", 1)]);
+    let status = Status {
+        holdings: Vec::new(),
+        busy: false,
+        calls: 0,
+        pace: 1.0,
+        at: NOW,
+        turn: None,
+    };
+    placer.on_status("a", status);
+    assert_eq!(send(&mut placer), None);
+    // What runs there goes on until its end.
+    assert_eq!(placer.in_flight(), 1);
+    placer.ended(NOW, call, Outcome::Done);
+    set(&mut placer, &[]);
+    assert_eq!(placer.iter().count(), 0);
+    set(&mut placer, &[placing::member("a", 1)]);
+    assert_eq!(send(&mut placer), None, "its entry came back");
+}
+
+/// Guards against a runner that started again under its id and is kept out for
+/// what the one before said, also in an answer that comes after the restart.
+#[test]
+fn another_start_is_open() {
+    let mut placer = placing::placer(&[placing::member("a", 1)]);
+    let early = send(&mut placer).expect("a is open");
+    let late = send(&mut placer).expect("a is open");
+    placer.on_leaving(early);
+    set(&mut placer, &[placing::member("a", 2)]);
+    let next = send(&mut placer).expect("another start is open");
+    placer.on_leaving(late);
+    assert!(send(&mut placer).is_some());
+    for call in [early, late, next] {
+        placer.ended(NOW, call, Outcome::Done);
+    }
+    set(&mut placer, &[placing::member("a", 1)]);
+    assert_eq!(send(&mut placer), None, "the earlier start left");
+}
+
+/// Guards against memory that grows with each runner that leaves, and against
+/// forgetting the latest.
+#[test]
+fn remembered_starts_are_bounded() {
+    let mut notices = Notices::default();
+    let start = |born| Start { hash: 7, born };
+    for born in 0..10_000 {
+        notices.set(start(born), Notice { leaving: true });
+    }
+    let held = (0..10_000).filter(|born| notices.get(start(*born)).leaving);
+    let held: Vec<u64> = held.collect();
+    assert_eq!(held, Vec::from_iter(9_488..10_000));
+}
+
+/// Guards against new requests for a runner that has said in any answer that it
+/// is leaving, while the registry still lists it as ready.
+#[test]
+fn answer_that_says_leaving_is_the_last() {
+    let ip = Ipv4Addr::new(127, 0, 9, 1);
+    let (store, addr) = Store::start(ip);
+    store.put("op/config", &prepared::config(3));
+    let (stays, addr_stays) = Runner::start(ip);
+    stays.will(vec![Act::Says(200, &[], EVENT); 1_000]);
+    store.put("servers/i-0", &prepared::registered(addr_stays));
+    let answers = [
+        ("safe", Act::Says(200, &[LEAVING], "whole")),
+        ("safe", Act::Says(500, &[LEAVING], "")),
+        ("once", Act::Says(503, &[LEAVING, NOT_RUN], "")),
+        ("once", Act::Says(421, &[LEAVING, NOT_RUN], "")),
+        ("stream", Act::Says(200, &[LEAVING], EVENT)),
+    ];
+    let mut leavers = Vec::new();
+    let entry = Entry::start(ip, addr);
+    entry.until_ready();
+    let post = |route: &str| {
+        let text = request("POST", &format!("/{route}/1"), "a", "b");
+        prepared::send(entry.callers, &text).expect("an answer")
+    };
+    for (number, (route, act)) in (1..).zip(answers) {
+        let (runner, addr) = Runner::start(ip);
+        runner.will([act]);
+        let key = format!("servers/i-{number}");
+        store.put(&key, &prepared::registered(addr));
+        prepared::until(|| {
+            post(route);
+            !runner.got().is_empty()
+        });
+        // The registry's word on the same incarnation comes again.
+        store.put(&key, &prepared::registered(addr));
+        leavers.push((route, runner));
+    }
+    let routes = ["safe", "once", "stream"].repeat(20);
+    let statuses: Vec<u16> = routes.iter().map(|route| post(route).status()).collect();
+    let got = leavers.iter().map(|(route, r)| (*route, r.got().len()));
+    let got: Vec<(&str, usize)> = got.collect();
+    assert!(got.iter().all(|(_, got)| *got == 1), "{got:?}");
+    assert!(statuses.iter().all(|s| *s == 200), "{statuses:?}");
+    assert_eq!(entry.log().matches("is leaving").count(), 5);
+}
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -7,6 +7,8 @@
 use chervilquay::platform::settings;
 use chervilquay::table::routing::Repeat;
 use chervilquay::time::Millis;
+use http::HeaderMap;
+use http::StatusCode;
 
 const SETTINGS: &str = "node_name=front-a-1
 ip=10.1.0.40
@@ -136,7 +138,7 @@
 /// reaching a runner, and against its key being passed on.
 #[test]
 fn runner_gets_no_forged_headers() {
-    let mut caller = http::HeaderMap::new();
+    let mut caller = HeaderMap::new();
     for (name, value) in [
         ("x-tenant", "forged"),
         ("x-expect-instance", "forged"),
@@ -170,3 +172,21 @@
     assert_eq!(get("x-model"), Some("m"));
     assert_eq!(get("x-request-id"), Some("id"));
 }
+
+/// Guards against missing that a runner is leaving, whatever it answers.
+#[test]
+fn leaving_is_read_from_any_answer() {
+    let leaving = |status: u16, value: Option<&str>| {
+        let mut held = HeaderMap::new();
+        if let Some(value) = value {
+            held.insert("server-leaving", value.parse().expect("a value"));
+        }
+        let status = StatusCode::from_u16(status).expect("a status");
+        headers::reply(status, &held).leaving
+    };
+    for status in [200, 404, 421, 500, 503] {
+        assert!(leaving(status, Some("1")), "{status}");
+        assert!(!leaving(status, Some("0")), "{status}");
+        assert!(!leaving(status, None), "{status}");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
     reason = "each test file uses a part"
 )]
 
+pub mod placing;
 pub mod prepared;
 pub mod system;
 
--- /dev/null
+++ b/tests/support/placing.rs
@@ -0,0 +1,62 @@
+//! A plain pool for tests of the placement.
+
+use chervilquay::member::registry::Registration;
+use chervilquay::route::engine::Size;
+use chervilquay::route::place::Placer;
+use chervilquay::route::place::Want;
+use chervilquay::table::routing::Limits;
+use chervilquay::table::routing::Pool;
+use chervilquay::table::routing::Routing;
+
+/// An upstream of the pool.
+pub fn member(id: &str, born: u64) -> Registration {
+    Registration {
+        id: id.to_string(),
+        pool: "p".to_string(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        zone: "z".to_string(),
+        slots: 16,
+        draining: false,
+        born,
+        holdings: Vec::new(),
+    }
+}
+
+/// A configuration with the pool.
+pub fn routing() -> Routing {
+    let pool = Pool {
+        name: "p".to_string(),
+        health: String::new(),
+        connections: 100,
+        engine: None,
+        origin: None,
+    };
+    Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
+}
+
+/// A request for the pool.
+pub fn want() -> Want {
+    Want {
+        pool: "p".to_string(),
+        model: None,
+        least: 0,
+        size: Size {
+            prompt: 0.0,
+            output: 0.0,
+        },
+        slack: Some(400.0),
+        pause: None,
+        patience: 6_000.0,
+        density: 1.0,
+        bulk: 1.0,
+        lean: 0.0,
+        read: 0.0,
+    }
+}
+
+/// A placer with these upstreams.
+pub fn placer(members: &[Registration]) -> Placer {
+    let mut placer = Placer::new("z", 1);
+    placer.set_members(members, &routing());
+    placer
+}
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -202,6 +202,8 @@
     Broken(u64, u64),
     /// Answers after this many milliseconds.
     Slow(u64),
+    /// Answers with this status, these headers beside the id, and this body.
+    Says(u16, &'static [(&'static str, &'static str)], &'static str),
 }
 
 /// A stand-in runner: acts in turn, and keeps what it got.
@@ -257,6 +259,10 @@
                     thread::sleep(Duration::from_millis(ms));
                     answer(&mut stream, 200, &own, b"whole");
                 }
+                Act::Says(status, headers, body) => {
+                    let headers = [&own[..], headers].concat();
+                    answer(&mut stream, status, &headers, body.as_bytes());
+                }
                 Act::Events(from, to) => {
                     events(&mut stream, &id, from, to);
                     let _ = stream.write_all(b"0\r\n\r\n");
