--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -40,6 +40,7 @@
 use crate::net::server;
 use crate::once::Print;
 use crate::platform::headers;
+use crate::platform::headers::Reply;
 use crate::prelude::*;
 use crate::retry::Refused;
 use crate::retry::Repeats;
@@ -117,6 +118,23 @@
         self.entry.placer().begun(now, self.call);
     }
 
+    /// Takes what the head of the answer says of the upstream itself.
+    pub fn heard(&self, reply: &Reply) {
+        if !reply.leaving && reply.back_off.is_none() {
+            return;
+        }
+        let now = self.entry.node.now();
+        let journal = self.entry.node.journal();
+        if let Some(span) = reply.back_off {
+            let learned = self.entry.placer().on_back_off(now, self.call, span);
+            learned.inspect(|upstream| journal.back_off(now, upstream, span));
+        }
+        if reply.leaving {
+            let learned = self.entry.placer().on_leaving(self.call);
+            learned.inspect(|upstream| journal.leaving(now, upstream));
+        }
+    }
+
     /// Sets how the call ends; without it the call counts as given up.
     pub fn outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,7 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 const VERSION: HeaderName = HeaderName::from_static("x-weight-versions");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -172,9 +173,21 @@
     pub load: Option<Load>,
     /// Version of the weights that the answer is made from.
     pub version: Option<u64>,
+    /// True when the runner says that it is leaving.
+    pub leaving: bool,
+    /// Time for which a runner that turns the request away wants no others.
+    pub back_off: Option<Millis>,
 }
 }
 
+/// Time after which to come back, in whole or fractional seconds. Runners send
+/// no dates; one says nothing here, nor does a number out of range.
+fn retry_after(headers: &HeaderMap) -> Option<Millis> {
+    let seconds: f64 = number(headers, header::RETRY_AFTER)?;
+    let is_valid = seconds.is_finite() && seconds >= 0.0;
+    is_valid.then(|| Millis((seconds * 1_000.0).ceil() as u64))
+}
+
 /// Decodes the head of a runner's answer.
 pub fn reply(status: StatusCode, headers: &HeaderMap) -> Reply {
     let figures = text(headers, LOAD).map(|value| {
@@ -191,6 +204,10 @@
         not_run: headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST,
         load,
         version: number(headers, VERSION),
+        leaving: headers.get(LEAVING).is_some_and(|value| value != "0"),
+        back_off: (status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| retry_after(headers))
+            .flatten(),
     }
 }
 
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -16,6 +16,9 @@
 use crate::rollout::versions::Versions;
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
+use crate::route::notice::Notice;
+use crate::route::notice::Notices;
+use crate::route::notice::Start;
 use crate::route::recovery::Recovery;
 use crate::table::routing::Routing;
 use crate::util;
@@ -197,6 +200,7 @@
     delay: f64,
     remote: bool,
     leaving: bool,
+    notice: Notice,
     own: Load,
     others: IndexMap<String, (Millis, Load)>,
     /// When this entry sent its latest requests there.
@@ -231,6 +235,7 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     target: Key<Target>,
+    born: u64,
     sent: Millis,
     unread: f64,
     predicted: f64,
@@ -248,6 +253,7 @@
     plain: IndexMap<String, f64>,
     versions: Versions,
     bound: Millis,
+    notices: Notices,
     rng: Rng,
 }
 
@@ -263,6 +269,7 @@
             plain: IndexMap::new(),
             versions: Versions::default(),
             bound: Millis(0),
+            notices: Notices::default(),
             rng: Rng::with_seed(seed),
         }
     }
@@ -313,6 +320,10 @@
             if target.entry != *member {
                 target.wrong = None;
             }
+            if target.entry.born != member.born {
+                let (hash, born) = (target.hash, member.born);
+                target.notice = self.notices.get(Start { hash, born });
+            }
             if target.entry.born != member.born || target.entry.addr != member.addr {
                 // Another incarnation owes nothing to what the earlier one did.
                 target.recovery = Recovery::default();
@@ -325,6 +336,7 @@
             return;
         }
         let hash = util::stable_hash([member.id.as_str()]);
+        let born = member.born;
         let key = self.targets.insert(Target {
             entry: member.clone(),
             hash,
@@ -332,6 +344,7 @@
             delay,
             remote: member.zone != self.zone,
             leaving: member.draining,
+            notice: self.notices.get(Start { hash, born }),
             own: Load::default(),
             others: IndexMap::new(),
             recent: VecDeque::new(),
@@ -376,6 +389,45 @@
         }
     }
 
+    /// Takes the word that came with an answer to a call: that its upstream is
+    /// leaving. Returns its id when that is new.
+    pub fn on_leaving(&mut self, key: Key<Call>) -> Option<String> {
+        let (target, was) = self.note(key, |notice| notice.leaving = true)?;
+        (!was.leaving).then(|| target.entry.id.clone())
+    }
+
+    /// Takes the word that came with an answer to a call: that its upstream wants
+    /// no requests for `span`. Returns its id when none such word was in force.
+    pub fn on_back_off(&mut self, now: Millis, key: Key<Call>, span: Millis) -> Option<String> {
+        let (target, was) = self.note(key, |notice| notice.back_off(now, span))?;
+        (was.left(now) == Millis(0)).then(|| target.entry.id.clone())
+    }
+
+    /// Changes what is known of the incarnation that a call was sent to; the
+    /// entry may be of a later one by now. Returns what was known before.
+    fn note(
+        &mut self,
+        key: Key<Call>,
+        change: impl FnOnce(&mut Notice),
+    ) -> Option<(&Target, Notice)> {
+        let call = self.calls.get(key)?;
+        let target = self.targets.get_mut(call.target)?;
+        let (hash, born) = (target.hash, call.born);
+        let is_current = target.entry.born == born;
+        let was = if is_current {
+            target.notice
+        } else {
+            self.notices.get(Start { hash, born })
+        };
+        let mut notice = was;
+        change(&mut notice);
+        if is_current {
+            target.notice = notice;
+        }
+        self.notices.set(Start { hash, born }, notice);
+        Some((target, was))
+    }
+
     /// Takes the calls of another entry, as pairs of an upstream's hash and
     /// its calls with the reading time that they have left.
     pub fn on_loads(&mut self, now: Millis, peer: &str, loads: &[(u64, u32, f64)]) {
@@ -407,9 +459,21 @@
     pub fn choose(&mut self, now: Millis, want: &Want, without: &[Key<Target>]) -> Choice {
         let mut found: Vec<(f64, Key<Target>)> = Vec::new();
         let mut resting: Option<(Millis, f64, Key<Target>)> = None;
+        let mut asked: Option<(Millis, f64)> = None;
         let work = self.plain.get(&want.pool).copied().unwrap_or(PLAIN_MS);
         for (key, target) in self.targets.iter() {
-            if without.contains(&key) || !target.serves(now, want) {
+            if !target.serves(now, want) {
+                continue;
+            }
+            let left = target.notice.left(now);
+            if left > Millis(0) {
+                // One that was tried counts too: the caller may come back to it.
+                if asked.is_none_or(|(least, _)| left < least) {
+                    asked = Some((left, target.predict(now, want, work)));
+                }
+                continue;
+            }
+            if without.contains(&key) {
                 continue;
             }
             let first = target.predict(now, want, work);
@@ -424,10 +488,14 @@
         }
         if found.is_empty() {
             // Every upstream has failed lately; the one that has rested longest
-            // is the best that is left.
-            return match resting {
-                Some((_, first, target)) => Choice::Send { target, first },
-                None => Choice::Nowhere,
+            // is the best that is left. None that wants no requests is tried.
+            return match (resting, asked) {
+                (Some((_, first, target)), _) => Choice::Send { target, first },
+                (None, Some((retry, first))) => Choice::Full {
+                    first: retry.0 as f64 + first,
+                    retry,
+                },
+                (None, None) => Choice::Nowhere,
             };
         }
         let least = |found: &[(f64, Key<Target>)]| {
@@ -485,8 +553,9 @@
 
     /// Counts a call that is sent.
     pub fn sent(&mut self, now: Millis, key: Key<Target>, want: &Want, first: f64) -> Key<Call> {
-        let mut unread = 0.0;
+        let (mut unread, mut born) = (0.0, 0);
         if let Some(target) = self.targets.get_mut(key) {
+            born = target.entry.born;
             unread = target
                 .engine
                 .as_ref()
@@ -500,6 +569,7 @@
         }
         self.calls.insert(Call {
             target: key,
+            born,
             sent: now,
             unread,
             predicted: first,
@@ -588,7 +658,12 @@
 impl Target {
     /// True when it takes requests now.
     pub fn is_open(&self, now: Millis) -> bool {
-        !self.leaving && self.recovery.is_open(now, self.own.calls)
+        !self.is_leaving() && !self.is_resting(now)
+    }
+
+    /// True while it rests after failures, or wants no requests.
+    fn is_resting(&self, now: Millis) -> bool {
+        self.notice.left(now) > Millis(0) || !self.recovery.is_open(now, self.own.calls)
     }
 
     /// What the prediction was made from, for the log.
@@ -613,21 +688,26 @@
             "id": self.entry.id,
             "pool": self.entry.pool,
             "zone": self.entry.zone,
-            "leaving": self.leaving,
+            "leaving": self.is_leaving(),
             "own": self.own.calls,
             "calls": load.calls,
             "unread_ms": load.unread,
             "pace": self.pace(now),
-            "resting": !self.recovery.is_open(now, self.own.calls),
+            "resting": self.is_resting(now),
             "status": self.status(now).map(|s| serde_json::json!({
                 "busy": s.busy, "calls": s.calls, "age_ms": now.since(s.at).0,
             })),
         })
     }
 
+    /// True when the registry or its own answers say that it is leaving.
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.notice.leaving
+    }
+
     /// True when it may take the request at all.
     fn serves(&self, now: Millis, want: &Want) -> bool {
-        if self.entry.pool != want.pool || self.leaving {
+        if self.entry.pool != want.pool || self.is_leaving() {
             return false;
         }
         let Some(engine) = &self.engine else {
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -205,6 +205,8 @@
     /// Begins a stream of one event after this many milliseconds in the queue,
     /// unless its connection was closed meanwhile.
     Queued(u64),
+    /// Answers with this status, these headers beside the id, and this body.
+    Says(u16, &'static [(&'static str, &'static str)], &'static str),
 }
 
 /// A stand-in runner: acts in turn, and keeps what it got.
@@ -275,6 +277,10 @@
                     events(&mut stream, &id, 1, 1);
                     let _ = stream.write_all(b"0\r\n\r\n");
                 }
+                Act::Says(status, headers, body) => {
+                    let headers = [&own[..], headers].concat();
+                    answer(&mut stream, status, &headers, body.as_bytes());
+                }
                 Act::Events(from, to) => {
                     events(&mut stream, &id, from, to);
                     let _ = stream.write_all(b"0\r\n\r\n");
