--- /dev/null
+++ b/tests/place_version.rs
@@ -0,0 +1,119 @@
+//! Requests that would begin after their upstream's version has expired.
+
+mod support;
+
+use chervilquay::member::registry::Holding;
+use chervilquay::member::registry::Registration;
+use chervilquay::rollout::versions::Naming;
+use chervilquay::rollout::versions::Versions;
+use chervilquay::route::engine::Engine;
+use chervilquay::route::engine::Size;
+use chervilquay::route::place::Choice;
+use chervilquay::route::place::Placer;
+use chervilquay::route::place::Want;
+use chervilquay::table::routing::Limits;
+use chervilquay::table::routing::Pool;
+use chervilquay::table::routing::Routing;
+use chervilquay::time::Millis;
+use support::placing;
+
+const BOUND: Millis = Millis(8_000);
+
+fn member(id: &str, version: u64) -> Registration {
+    let holding = Holding {
+        model: "m".to_string(),
+        version,
+        layers: None,
+    };
+    Registration {
+        holdings: vec![holding],
+        ..placing::member(id, 1)
+    }
+}
+
+fn routing() -> Routing {
+    let engine = Engine {
+        slots: 16,
+        step_ms: 8.9,
+        request_ms: 0.04,
+        context_ms: 0.02,
+        read_rate: 19.1,
+        pairs_ms: 1.5,
+        stride: 5.0,
+        usual: Size {
+            prompt: 970.0,
+            output: 95.0,
+        },
+        layers: 16,
+        pieces: 48,
+        piece_bytes: 49_152,
+        models: Vec::new(),
+        delays: Vec::new(),
+    };
+    let pool = Pool {
+        name: "p".to_string(),
+        health: String::new(),
+        connections: 100,
+        engine: Some(engine),
+        origin: None,
+    };
+    Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
+}
+
+fn want() -> Want {
+    Want {
+        model: Some("m".to_string()),
+        size: Size {
+            prompt: 970.0,
+            output: 95.0,
+        },
+        read: 51.0,
+        slack: Some(900.0),
+        ..placing::want()
+    }
+}
+
+/// A placer that knows version 2 as named at 100 s, with `calls` at each upstream.
+fn placer(members: &[Registration], calls: usize) -> Placer {
+    let mut placer = Placer::new("z", 1);
+    placer.set_members(members, &routing());
+    let mut versions = Versions::default();
+    let naming = Naming {
+        at: Millis(100_000),
+        exact: true,
+    };
+    versions.insert("m", 2, naming);
+    placer.set_versions(versions, BOUND);
+    for member in members {
+        let key = placer.find(&member.id).unwrap();
+        for _ in 0..calls {
+            placer.sent(Millis(101_000), key, &want(), 100.0);
+        }
+    }
+    placer
+}
+
+/// Guards against a request that waits in a full runner's queue and begins
+/// there after the version has expired.
+#[test]
+fn queue_ends_before_the_expiry() {
+    let expiry = 108_000;
+    let mut full = placer(&[member("old", 1)], 17);
+    let Choice::Send { first, .. } = full.choose(Millis(expiry - 6_000), &want(), &[]) else {
+        panic!("early on, the queue takes it");
+    };
+    assert!(first > 200.0, "{first}");
+    let late = Millis(expiry - 2 * first as u64);
+    assert_eq!(full.choose(late, &want(), &[]), Choice::Nowhere);
+    let mut empty = placer(&[member("old", 1)], 0);
+    let early = empty.choose(late, &want(), &[]);
+    assert!(matches!(early, Choice::Send { .. }), "{early:?}");
+}
+
+/// Guards against refusing what a runner with the newest version can take.
+#[test]
+fn newest_version_never_expires() {
+    let mut placer = placer(&[member("new", 2)], 17);
+    let choice = placer.choose(Millis(109_000), &want(), &[]);
+    assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
+}
