table: A process that starts does not vouch for removals before its listing

Cause: a replica that began with a listing of the store answered a peer's question for the changes after an earlier revision with a delta that counted as complete. A listing names no removals, so the peer's revision passed those in between without their effect: it went on sending to a runner that had left until its own end.

Change: after a listing, the history begins at the listing's revision; a peer that is further behind gets the whole content.

Before and after: replica_merge::started_peer_tells_all failed (the removed key was still held) and passes.

--- a/src/table/replica.rs
+++ b/src/table/replica.rs
@@ -41,6 +41,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     at: u64,
+    /// Revision from which every removal is known.
     floor: u64,
     docs: IndexMap<Arc<str>, Doc>,
     removed: usize,
@@ -75,6 +76,8 @@
         let mut changed = Vec::new();
         if delta.whole && delta.upto >= self.at {
             self.remove_missing(&delta, &mut changed);
+            // A listing names no removals, so those before it cannot be told.
+            self.floor = self.floor.max(delta.upto);
         }
         for doc in delta.docs {
             let held = self.docs.get(&doc.key);
--- a/tests/replica_merge.rs
+++ b/tests/replica_merge.rs
@@ -92,3 +92,25 @@
         }
     }
 }
+
+/// Guards against a runner that left being used until the process ends: a peer
+/// that has just started knows the store's listing, and none of the removals
+/// before it, so its changes since an earlier revision would lack them.
+#[test]
+fn started_peer_tells_all() {
+    let mut replica = Replica::default();
+    let both = vec![doc("a", 5, Some("1")), doc("b", 6, Some("1"))];
+    replica.apply(delta(true, 10, both));
+    // The store removes b with 11 and changes a with 12; then a peer starts.
+    let mut started = Replica::default();
+    started.apply(delta(true, 12, vec![doc("a", 12, Some("2"))]));
+    replica.apply(started.since(replica.at()));
+    assert_eq!(replica.at(), 12);
+    assert_eq!(value(&replica, "a"), Some("2".into()));
+    assert_eq!(value(&replica, "b"), None);
+    // What it hears after its listing it tells as changes.
+    started.apply(delta(false, 13, vec![doc("a", 13, None)]));
+    let change = started.since(12);
+    assert!(!change.whole);
+    assert_eq!(change.docs, vec![doc("a", 13, None)]);
+}
