table: A late listing brings no removed key back

Cause: a process that starts reads the store's listing and asks peers at the same time. A peer's whole content names no removals; a listing that was begun before and arrives later still named a runner that had left, and its key, not being held, was taken as new. No later change names it, so it stayed.

Change: a key that is not held is taken only with a revision above that up to which the replica is complete.

Before and after: replica_merge::late_listing_brings_nothing_back failed (the key came back) and passes.

--- a/src/table/replica.rs
+++ b/src/table/replica.rs
@@ -71,9 +71,12 @@
     /// Applies changes and returns the keys that changed.
     ///
     /// Changes that are older than what is held are left out, so late and
-    /// repeated deltas do no harm.
+    /// repeated deltas do no harm. A key that is not held although the replica
+    /// is complete up to its revision was removed; the removal is unknown here
+    /// if it was never told or has been forgotten.
     pub fn apply(&mut self, delta: Delta) -> Vec<Doc> {
         let mut changed = Vec::new();
+        let complete = self.at;
         if delta.whole && delta.upto >= self.at {
             self.remove_missing(&delta, &mut changed);
             // A listing names no removals, so those before it cannot be told.
@@ -81,7 +84,8 @@
         }
         for doc in delta.docs {
             let held = self.docs.get(&doc.key);
-            if held.is_some_and(|held| held.revision >= doc.revision) {
+            let known = held.map_or(complete, |held| held.revision);
+            if doc.revision <= known {
                 continue;
             }
             self.put(doc.clone());
--- a/tests/replica_merge.rs
+++ b/tests/replica_merge.rs
@@ -93,6 +93,24 @@
     }
 }
 
+/// Guards against a runner that left being used until the process ends: a
+/// process that starts takes a peer's whole content, which names no removals,
+/// and then the store's listing, which was begun before and still names it.
+#[test]
+fn late_listing_brings_nothing_back() {
+    let mut replica = Replica::default();
+    replica.apply(delta(true, 12, vec![doc("a", 5, Some("1"))]));
+    let listing = vec![doc("a", 5, Some("1")), doc("b", 6, Some("1"))];
+    let changed = replica.apply(delta(true, 10, listing));
+    assert!(changed.is_empty(), "{changed:?}");
+    assert_eq!(value(&replica, "b"), None);
+    // A later page of a listing may be newer than its first.
+    let listing = vec![doc("a", 5, Some("1")), doc("c", 13, Some("1"))];
+    let changed = replica.apply(delta(true, 10, listing));
+    assert_eq!(changed, vec![doc("c", 13, Some("1"))]);
+    assert_eq!(replica.at(), 12);
+}
+
 /// Guards against a runner that left being used until the process ends: a peer
 /// that has just started knows the store's listing, and none of the removals
 /// before it, so its changes since an earlier revision would lack them.
