member: A store that drops its history has had no outage

Cause: any failed call counted as an outage of the store, so that missing entries were kept for two seconds after it. A store that drops its history is silent to watches for a second and cuts them; a runner that was removed in that second was kept until 3.2 s after its removal, by all entries. Drain times are 2 and 3 s. On the other hand, news from a peer ruled out lapses for three heartbeats, though the last heartbeat before an outage may be a whole interval old.

Change: entries can have lapsed only if the own last answer, and the last news from a peer, are two heartbeats old.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -49,8 +49,10 @@
 /// Interval at which an agent without entries reads the store.
 const ALONE_INTERVAL: Duration = Duration::from_millis(2_000);
 
-/// Heartbeats without which the store removes an entry.
-const LEASE_BEATS: u64 = 3;
+/// Heartbeats that fall into the shortest outage in which an entry can lapse:
+/// the store removes it after three, and the last one before the outage may be
+/// a whole interval old.
+const OUTAGE_BEATS: u64 = 2;
 
 /// Path of the deltas on the internal port.
 pub const PATH: &str = "/feed";
@@ -110,6 +112,11 @@
     node.world().watch.is_sound(node.now())
 }
 
+/// Shortest outage of the store in which an entry can lapse.
+fn least_outage(node: &Node) -> Millis {
+    Millis(OUTAGE_BEATS * node.settings().heartbeat.0)
+}
+
 /// Reads once; true when the store was away before.
 async fn read(node: &Node, store: &Store) -> Result<bool> {
     let (at, call) = {
@@ -128,7 +135,7 @@
     };
     let (is_back, left) = {
         let mut world = node.world();
-        let is_back = world.store_answered(node.now());
+        let is_back = world.store_answered(node.now(), least_outage(node));
         (is_back, world.lapse_left(node.now()))
     };
     node.apply(delta, left, "store");
@@ -192,8 +199,8 @@
                         node.world().watch.told(node.now());
                     }
                     if left == Millis(0) && !doc.docs.is_empty() {
-                        let silence = Millis(LEASE_BEATS * node.settings().heartbeat.0);
-                        node.world().peer_answered(node.now(), silence);
+                        let least = least_outage(&node);
+                        node.world().peer_answered(node.now(), least);
                     }
                     node.apply(doc.delta(), left, &name);
                     break;
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -52,6 +52,8 @@
     lapse_end: Millis,
     /// Time before which no entry can have lapsed, as peers had news.
     sound_until: Millis,
+    /// Last answer of the store to this process.
+    served: Option<Millis>,
     away: bool,
 }
 
@@ -70,13 +72,17 @@
     /// Notes that the store answered; true when it was away before.
     ///
     /// If the store served others meanwhile, only this process was cut off
-    /// from it, and what is missing was removed.
-    pub fn store_answered(&mut self, now: Millis) -> bool {
+    /// from it, and what is missing was removed. The same holds if the last
+    /// answer is less than `least` old, the shortest outage in which an entry
+    /// can lapse: a store that drops its history cuts all watches for a moment.
+    pub fn store_answered(&mut self, now: Millis, least: Millis) -> bool {
         self.watch.answered(now);
+        let served = self.served.replace(now);
+        let is_short = served.is_some_and(|at| now.since(at) < least);
         if !std::mem::take(&mut self.away) {
             return false;
         }
-        if now >= self.sound_until {
+        if now >= self.sound_until && !is_short {
             self.lapse_end = now.plus(LAPSE);
         }
         true
--- a/tests/world_lapse.rs
+++ b/tests/world_lapse.rs
@@ -10,6 +10,9 @@
 
 const BOUND: Millis = Millis(8_000);
 
+/// Shortest outage in which an entry can lapse.
+const OUTAGE: Millis = Millis(2_400);
+
 /// No entry can have lapsed.
 const CALM: Millis = Millis(0);
 
@@ -45,7 +48,7 @@
     world.apply(now, BOUND, put("servers/b", 2, Some(entry("ready"))), CALM);
     world.store_failed();
     let back = Millis(15_000);
-    assert!(world.store_answered(back));
+    assert!(world.store_answered(back, OUTAGE));
     let left = world.lapse_left(back);
     assert_eq!(left, Millis(2_000));
     for (id, revision) in [("servers/a", 3), ("servers/b", 4)] {
@@ -140,11 +143,11 @@
     world.apply(Millis(1), BOUND, ready, CALM);
     world.store_failed();
     world.peer_answered(Millis(24_870), silence);
-    assert!(world.store_answered(Millis(25_300)));
+    assert!(world.store_answered(Millis(25_300), OUTAGE));
     assert_eq!(world.lapse_left(Millis(25_614)), CALM);
     // Without news for as long as entries live, they may have lapsed.
     world.store_failed();
-    assert!(world.store_answered(Millis(28_500)));
+    assert!(world.store_answered(Millis(28_500), OUTAGE));
     assert!(world.lapse_left(Millis(28_600)) > CALM);
 }
 
@@ -181,3 +184,24 @@
     assert_eq!(changes, vec![Change::Lapsed("a".to_string())]);
     assert_eq!(second.lapse_left(Millis(6_500)), CALM);
 }
+
+/// Guards against a runner that leaves being kept for two seconds when the store
+/// drops its history: watches hear nothing for a second and are cut, and the
+/// next call is answered.
+#[test]
+fn dropped_history_is_no_outage() {
+    let mut world = World::default();
+    let ready = put("servers/a", 1, Some(entry("ready")));
+    world.store_answered(Millis(9_900), OUTAGE);
+    world.apply(Millis(9_900), BOUND, ready, CALM);
+    world.store_failed();
+    let back = Millis(11_200);
+    assert!(world.store_answered(back, OUTAGE));
+    let left = world.lapse_left(back);
+    let changes = world.apply(back, BOUND, put("servers/a", 2, None), left);
+    assert_eq!(changes, vec![Change::Gone("a".to_string())]);
+    // A failure that lasts as long as entries may lapse in.
+    world.store_failed();
+    assert!(world.store_answered(Millis(13_700), OUTAGE));
+    assert!(world.lapse_left(Millis(13_700)) > CALM);
+}
