member: An entry that cannot fetch from peers reads the store

Cause: an entry that hears the readers of its zone, and whose own packets do not reach its peers, saw no silence and tried to fetch from them for ever, although it could reach the store.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -96,10 +96,14 @@
     }
 }
 
-/// True when this entry should read the store: always before it knows anything.
+/// True when this entry should read the store: always before it knows anything,
+/// and while peers have news that it cannot get from them.
 fn is_needed(node: &Node) -> bool {
-    let is_synced = node.world().replica.is_synced();
-    if !is_synced {
+    let is_own = {
+        let world = node.world();
+        !world.replica.is_synced() || world.watch.is_stuck(node.now())
+    };
+    if is_own {
         return true;
     }
     let settings = node.settings();
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -160,7 +160,15 @@
                 }
             }
         }
-        if datagram.revision > self.node.world().replica.at() {
+        let is_behind = {
+            let mut world = self.node.world();
+            let is_behind = datagram.revision > world.replica.at();
+            if is_behind {
+                world.watch.fell_behind(now);
+            }
+            is_behind
+        };
+        if is_behind {
             // One token is enough: the receiver looks at all peers.
             let _ = self.behind.try_send(());
         }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -104,6 +104,9 @@
     /// process that they come from would do.
     pub fn apply(&mut self, now: Millis, bound: Millis, delta: Delta, left: Millis) -> Vec<Change> {
         let is_start = !self.replica.is_synced();
+        if delta.upto > self.replica.at() {
+            self.watch.progressed();
+        }
         // What is passed on from here is kept for as long.
         self.lapse_end = self.lapse_end.max(now.plus(left));
         let mut changes = Vec::new();
--- a/src/member/watch.rs
+++ b/src/member/watch.rs
@@ -19,6 +19,10 @@
 /// Time by which peers may have news before the own reading has it.
 const OVERTAKEN: Millis = Millis(600);
 
+/// Time behind a peer after which an entry reads the store itself: one fetch
+/// that times out is followed by another peer's answer.
+const BEHIND: Millis = Millis(700);
+
 /// Wait of one read: the others of the zone rely on a reader that hears nothing
 /// for as long, and each call is priced.
 const WAIT: Millis = Millis(1_600);
@@ -57,6 +61,7 @@
     answered: Option<Millis>,
     failures: u32,
     overtaken: Option<Millis>,
+    behind: Option<Millis>,
 }
 
 impl Watch {
@@ -109,6 +114,22 @@
         self.overtaken.get_or_insert(now);
     }
 
+    /// Notes that a peer has news that this process lacks.
+    pub fn fell_behind(&mut self, now: Millis) {
+        self.behind.get_or_insert(now);
+    }
+
+    /// Notes that news came, from whatever source.
+    pub fn progressed(&mut self) {
+        self.behind = None;
+    }
+
+    /// True when peers have had news for a while and none gave it. A process
+    /// that hears readers, and whose calls do not reach them, sees no silence.
+    pub fn is_stuck(&self, now: Millis) -> bool {
+        self.behind.is_some_and(|at| now.since(at) >= BEHIND)
+    }
+
     /// True while others may rely on it.
     pub fn is_sound(&self, now: Millis) -> bool {
         let most = GAP.plus(WAIT).plus(GRACE);
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -144,3 +144,17 @@
     watch.failed();
     assert!(!watch.is_sound(Millis(7_500)));
 }
+
+/// Guards against an entry that hears sound readers, is cut off from fetching
+/// their news, and neither gets it nor reads the store.
+#[test]
+fn stuck_follower_reads() {
+    let mut watch = Watch::default();
+    assert!(!watch.is_stuck(Millis(5_000)));
+    watch.fell_behind(Millis(5_000));
+    watch.fell_behind(Millis(5_600));
+    assert!(!watch.is_stuck(Millis(5_650)));
+    assert!(watch.is_stuck(Millis(5_700)));
+    watch.progressed();
+    assert!(!watch.is_stuck(Millis(5_700)));
+}
