member, gossip: The first return of the store ends the time for lapsed entries

Cause: each process kept missing entries for two seconds after it saw the store return itself, and passed that on. One that saw it late, or that alone had been cut off from the store and its peers, kept what was removed for longer than two seconds after the return.

Change: readers tell for how long the store has answered them without an outage; nobody keeps missing entries for longer than two seconds after the earliest such start. Field 15 of the datagram; it is 0 from processes that do not read.

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -162,6 +162,7 @@
         }
         let is_behind = {
             let mut world = self.node.world();
+            world.peer_served(now, Millis(datagram.served_for));
             let is_behind = datagram.revision > world.replica.at();
             if is_behind {
                 world.watch.fell_behind(now);
@@ -274,7 +275,10 @@
 
     fn datagram(&self, now: Millis, named: usize, hello: bool, near: bool) -> Datagram {
         let own = self.node.settings();
-        let revision = self.node.world().replica.at();
+        let (revision, served_for) = {
+            let world = self.node.world();
+            (world.replica.at(), world.served_for(now).0)
+        };
         let reads = self.node.role() == Role::Entry && feed::is_reader(&self.node);
         let mut datagram = Datagram {
             name: own.name.clone(),
@@ -284,6 +288,7 @@
             born: self.node.born(),
             revision,
             reads,
+            served_for,
             hello,
             ..Datagram::default()
         };
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -49,6 +49,10 @@
     /// True when an entry reads the store and can be relied on.
     #[prost(bool, tag = "14")]
     pub reads: bool,
+    /// Time for which the store has answered the sender without an outage, in
+    /// milliseconds; 0 when it does not read.
+    #[prost(uint64, tag = "15")]
+    pub served_for: u64,
     /// Requests that an entry refused a moment ago.
     #[prost(message, repeated, tag = "13")]
     pub refused: Vec<RefusedDoc>,
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -54,6 +54,8 @@
     sound_until: Millis,
     /// Last answer of the store to this process.
     served: Option<Millis>,
+    /// Start of the time in which it has answered without an outage.
+    served_since: Millis,
     away: bool,
 }
 
@@ -79,6 +81,9 @@
         self.watch.answered(now);
         let served = self.served.replace(now);
         let is_short = served.is_some_and(|at| now.since(at) < least);
+        if !is_short {
+            self.served_since = now;
+        }
         if !std::mem::take(&mut self.away) {
             return false;
         }
@@ -94,6 +99,32 @@
         self.sound_until = now.plus(silence);
     }
 
+    /// Time for which the store has answered this process without an outage;
+    /// 0 while its reading cannot be relied on.
+    pub fn served_for(&self, now: Millis) -> Millis {
+        if self.watch.is_sound(now) {
+            now.since(self.served_since)
+        } else {
+            Millis(0)
+        }
+    }
+
+    /// Notes for how long the store has answered a peer without an outage.
+    ///
+    /// The store was back when that began, so nothing is kept for longer than
+    /// after that; a process that sees the store again later, or was alone cut
+    /// off from it, would else keep what was removed.
+    pub fn peer_served(&mut self, now: Millis, span: Millis) {
+        if span == Millis(0) {
+            return;
+        }
+        let end = now.plus(LAPSE).since(span);
+        self.lapse_end = self.lapse_end.min(end);
+        for until in self.lapsed.values_mut() {
+            *until = (*until).min(end);
+        }
+    }
+
     /// Time for which missing entries are kept, as they may have lapsed while
     /// the store was away.
     pub fn lapse_left(&self, now: Millis) -> Millis {
--- a/tests/world_lapse.rs
+++ b/tests/world_lapse.rs
@@ -205,3 +205,38 @@
     assert!(world.store_answered(Millis(13_700), OUTAGE));
     assert!(world.lapse_left(Millis(13_700)) > CALM);
 }
+
+/// Guards against what was removed being kept by a process that sees the store
+/// return later than others, or that was alone cut off from it and its peers.
+#[test]
+fn first_return_ends_the_lapse() {
+    let mut first = World::default();
+    let mut late = World::default();
+    for world in [&mut first, &mut late] {
+        world.store_answered(Millis(9_900), OUTAGE);
+        let ready = put("servers/a", 1, Some(entry("ready")));
+        world.apply(Millis(9_900), BOUND, ready, CALM);
+        world.store_failed();
+    }
+    assert_eq!(first.served_for(Millis(14_000)), CALM);
+    first.store_answered(Millis(14_000), OUTAGE);
+    late.store_answered(Millis(15_500), OUTAGE);
+    let left = late.lapse_left(Millis(15_500));
+    let removed = put("servers/a", 2, None);
+    let changes = late.apply(Millis(15_500), BOUND, removed, left);
+    assert_eq!(changes, vec![Change::Lapsed("a".to_string())]);
+    let span = first.served_for(Millis(15_600));
+    assert_eq!(span, Millis(1_600));
+    late.peer_served(Millis(15_600), span);
+    assert_eq!(late.lapse_left(Millis(15_600)), Millis(400));
+    assert!(late.tick(Millis(15_990)).is_empty());
+    assert_eq!(
+        late.tick(Millis(16_000)),
+        vec![Change::Gone("a".to_string())]
+    );
+    // A peer that the store has answered all the while has seen no outage.
+    late.store_failed();
+    late.store_answered(Millis(25_000), OUTAGE);
+    late.peer_served(Millis(25_100), Millis(11_100));
+    assert_eq!(late.lapse_left(Millis(25_100)), CALM);
+}
