member: A process that starts in an outage does not declare entries removed

Cause: a process that started while the store was away took a peer's old content for news of the store, or was answered at once when the store returned. Either way it saw no outage, dropped entries that had lapsed, and told its peers that no time was left for them.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -187,10 +187,10 @@
             ahead
                 .into_iter()
                 .take(3)
-                .map(|p| (p.ip, p.name.clone()))
+                .map(|p| (p.ip, p.name.clone(), p.reads))
                 .collect()
         };
-        for (ip, name) in ahead {
+        for (ip, name, reads) in ahead {
             if clients.len() >= MAX_CLIENTS {
                 clients.clear();
             }
@@ -202,7 +202,10 @@
                     if !doc.docs.is_empty() {
                         node.world().watch.told(node.now());
                     }
-                    if left == Millis(0) && !doc.docs.is_empty() {
+                    // Only a reader's news shows that the store is there, and
+                    // a whole content may be old.
+                    let is_fresh = reads && !doc.whole && !doc.docs.is_empty();
+                    if left == Millis(0) && is_fresh {
                         let least = least_outage(&node);
                         node.world().peer_answered(node.now(), least);
                     }
