--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -49,8 +49,10 @@
 /// Interval at which an agent without entries reads the store.
 const ALONE_INTERVAL: Duration = Duration::from_millis(2_000);
 
-/// Heartbeats without which the store removes an entry.
-const LEASE_BEATS: u64 = 3;
+/// Heartbeats that fall into the shortest outage in which an entry can lapse:
+/// the store removes it after three, and the last one before the outage may be
+/// a whole interval old.
+const OUTAGE_BEATS: u64 = 2;
 
 /// Path of the deltas on the internal port.
 pub const PATH: &str = "/feed";
@@ -94,10 +96,14 @@
     }
 }
 
-/// True when this entry should read the store: always before it knows anything.
+/// True when this entry should read the store: always before it knows anything,
+/// and while peers have news that it cannot get from them.
 fn is_needed(node: &Node) -> bool {
-    let is_synced = node.world().replica.is_synced();
-    if !is_synced {
+    let is_own = {
+        let world = node.world();
+        !world.replica.is_synced() || world.watch.is_stuck(node.now())
+    };
+    if is_own {
         return true;
     }
     let settings = node.settings();
@@ -110,6 +116,11 @@
     node.world().watch.is_sound(node.now())
 }
 
+/// Shortest outage of the store in which an entry can lapse.
+fn least_outage(node: &Node) -> Millis {
+    Millis(OUTAGE_BEATS * node.settings().heartbeat.0)
+}
+
 /// Reads once; true when the store was away before.
 async fn read(node: &Node, store: &Store) -> Result<bool> {
     let (at, call) = {
@@ -132,7 +143,7 @@
     };
     let (is_back, left) = {
         let mut world = node.world();
-        let is_back = world.store_answered(node.now());
+        let is_back = world.store_answered(node.now(), least_outage(node));
         world.watch.took(took);
         (is_back, world.lapse_left(node.now()))
     };
@@ -182,10 +193,10 @@
             ahead
                 .into_iter()
                 .take(3)
-                .map(|p| (p.ip, p.name.clone()))
+                .map(|p| (p.ip, p.name.clone(), p.reads))
                 .collect()
         };
-        for (ip, name) in ahead {
+        for (ip, name, reads) in ahead {
             if clients.len() >= MAX_CLIENTS {
                 clients.clear();
             }
@@ -197,9 +208,12 @@
                     if !doc.docs.is_empty() {
                         node.world().watch.told(node.now());
                     }
-                    if left == Millis(0) && !doc.docs.is_empty() {
-                        let silence = Millis(LEASE_BEATS * node.settings().heartbeat.0);
-                        node.world().peer_answered(node.now(), silence);
+                    // Only a reader's news shows that the store is there, and
+                    // a whole content may be old.
+                    let is_fresh = reads && !doc.whole && !doc.docs.is_empty();
+                    if left == Millis(0) && is_fresh {
+                        let least = least_outage(&node);
+                        node.world().peer_answered(node.now(), least);
                     }
                     let named = doc.named(node.now());
                     node.apply(doc.delta(), left, &name);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -188,7 +188,9 @@
     /// Notes from a peer's revision whether the own replica is complete.
     fn compare(&self, now: Millis, datagram: &Datagram) {
         let mut world = self.node.world();
+        world.peer_served(now, Millis(datagram.served_for));
         if datagram.revision > world.replica.at() {
+            world.watch.fell_behind(now);
             // One token is enough: the receiver looks at all peers.
             let _ = self.behind.try_send(());
         } else if datagram.reads && datagram.revision == world.replica.at() {
@@ -288,11 +290,11 @@
         let own = self.node.settings();
         let is_answer = named >= MAX_NAMED_NEW;
         let age = if is_answer { NEWCOMER_AGE } else { NAMED_AGE };
-        let (revision, versions) = {
+        let (revision, versions, served_for) = {
             let world = self.node.world();
             let versions = world.versions.since(now.since(age));
             let versions = versions.map(|n| NamedDoc::new(now, &n)).collect();
-            (world.replica.at(), versions)
+            (world.replica.at(), versions, world.served_for(now).0)
         };
         let reads = self.node.role() == Role::Entry && feed::is_reader(&self.node);
         let mut datagram = Datagram {
@@ -303,6 +305,7 @@
             born: self.node.born(),
             revision,
             reads,
+            served_for,
             hello,
             named: versions,
             ..Datagram::default()
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -56,6 +56,10 @@
     lapse_end: Millis,
     /// Time before which no entry can have lapsed, as peers had news.
     sound_until: Millis,
+    /// Last answer of the store to this process.
+    served: Option<Millis>,
+    /// Start of the time in which it has answered without an outage.
+    served_since: Millis,
     away: bool,
 }
 
@@ -74,16 +78,23 @@
     /// Notes that the store answered; true when it was away before.
     ///
     /// If the store served others meanwhile, only this process was cut off
-    /// from it, and what is missing was removed.
-    pub fn store_answered(&mut self, now: Millis) -> bool {
+    /// from it, and what is missing was removed. The same holds if the last
+    /// answer is less than `least` old, the shortest outage in which an entry
+    /// can lapse: a store that drops its history cuts all watches for a moment.
+    pub fn store_answered(&mut self, now: Millis, least: Millis) -> bool {
         self.watch.answered(now);
-        if !std::mem::take(&mut self.away) {
-            return false;
+        let served = self.served.replace(now);
+        let is_short = served.is_some_and(|at| now.since(at) < least);
+        if !is_short {
+            self.served_since = now;
         }
-        if now >= self.sound_until {
+        let is_back = std::mem::take(&mut self.away);
+        // A process that starts cannot know whether the store was away.
+        let may_lapse = is_back || !self.replica.is_synced();
+        if may_lapse && now >= self.sound_until && !is_short {
             self.lapse_end = now.plus(LAPSE);
         }
-        true
+        is_back
     }
 
     /// Notes news of the store from a peer that has not seen it return; entries
@@ -92,6 +103,32 @@
         self.sound_until = now.plus(silence);
     }
 
+    /// Time for which the store has answered this process without an outage;
+    /// 0 while its reading cannot be relied on.
+    pub fn served_for(&self, now: Millis) -> Millis {
+        if self.watch.is_sound(now) {
+            now.since(self.served_since)
+        } else {
+            Millis(0)
+        }
+    }
+
+    /// Notes for how long the store has answered a peer without an outage.
+    ///
+    /// The store was back when that began, so nothing is kept for longer than
+    /// after that; a process that sees the store again later, or was alone cut
+    /// off from it, would else keep what was removed.
+    pub fn peer_served(&mut self, now: Millis, span: Millis) {
+        if span == Millis(0) {
+            return;
+        }
+        let end = now.plus(LAPSE).since(span);
+        self.lapse_end = self.lapse_end.min(end);
+        for until in self.lapsed.values_mut() {
+            *until = (*until).min(end);
+        }
+    }
+
     /// Time for which missing entries are kept, as they may have lapsed while
     /// the store was away.
     pub fn lapse_left(&self, now: Millis) -> Millis {
@@ -102,6 +139,9 @@
     /// process that they come from would do.
     pub fn apply(&mut self, now: Millis, bound: Millis, delta: Delta, left: Millis) -> Vec<Change> {
         let is_start = !self.replica.is_synced();
+        if delta.upto > self.replica.at() {
+            self.watch.progressed();
+        }
         // What is passed on from here is kept for as long.
         self.lapse_end = self.lapse_end.max(now.plus(left));
         let mut changes = Vec::new();
--- a/tests/world_lapse.rs
+++ b/tests/world_lapse.rs
@@ -10,6 +10,9 @@
 
 const BOUND: Millis = Millis(8_000);
 
+/// Shortest outage in which an entry can lapse.
+const OUTAGE: Millis = Millis(2_400);
+
 /// No entry can have lapsed.
 const CALM: Millis = Millis(0);
 
@@ -45,7 +48,7 @@
     world.apply(now, BOUND, put("servers/b", 2, Some(entry("ready"))), CALM);
     world.store_failed();
     let back = Millis(15_000);
-    assert!(world.store_answered(back));
+    assert!(world.store_answered(back, OUTAGE));
     let left = world.lapse_left(back);
     assert_eq!(left, Millis(2_000));
     for (id, revision) in [("servers/a", 3), ("servers/b", 4)] {
@@ -140,11 +143,11 @@
     world.apply(Millis(1), BOUND, ready, CALM);
     world.store_failed();
     world.peer_answered(Millis(24_870), silence);
-    assert!(world.store_answered(Millis(25_300)));
+    assert!(world.store_answered(Millis(25_300), OUTAGE));
     assert_eq!(world.lapse_left(Millis(25_614)), CALM);
     // Without news for as long as entries live, they may have lapsed.
     world.store_failed();
-    assert!(world.store_answered(Millis(28_500)));
+    assert!(world.store_answered(Millis(28_500), OUTAGE));
     assert!(world.lapse_left(Millis(28_600)) > CALM);
 }
 
@@ -181,3 +184,76 @@
     assert_eq!(changes, vec![Change::Lapsed("a".to_string())]);
     assert_eq!(second.lapse_left(Millis(6_500)), CALM);
 }
+
+/// Guards against a runner that leaves being kept for two seconds when the store
+/// drops its history: watches hear nothing for a second and are cut, and the
+/// next call is answered.
+#[test]
+fn dropped_history_is_no_outage() {
+    let mut world = World::default();
+    let ready = put("servers/a", 1, Some(entry("ready")));
+    world.store_answered(Millis(5_000), OUTAGE);
+    world.apply(Millis(5_000), BOUND, ready, CALM);
+    world.store_answered(Millis(9_900), OUTAGE);
+    world.store_failed();
+    let back = Millis(11_200);
+    assert!(world.store_answered(back, OUTAGE));
+    let left = world.lapse_left(back);
+    let changes = world.apply(back, BOUND, put("servers/a", 2, None), left);
+    assert_eq!(changes, vec![Change::Gone("a".to_string())]);
+    // A failure that lasts as long as entries may lapse in.
+    world.store_failed();
+    assert!(world.store_answered(Millis(13_700), OUTAGE));
+    assert!(world.lapse_left(Millis(13_700)) > CALM);
+}
+
+/// Guards against what was removed being kept by a process that sees the store
+/// return later than others, or that was alone cut off from it and its peers.
+#[test]
+fn first_return_ends_the_lapse() {
+    let mut first = World::default();
+    let mut late = World::default();
+    for world in [&mut first, &mut late] {
+        world.store_answered(Millis(9_900), OUTAGE);
+        let ready = put("servers/a", 1, Some(entry("ready")));
+        world.apply(Millis(9_900), BOUND, ready, CALM);
+        world.store_failed();
+    }
+    assert_eq!(first.served_for(Millis(14_000)), CALM);
+    first.store_answered(Millis(14_000), OUTAGE);
+    late.store_answered(Millis(15_500), OUTAGE);
+    let left = late.lapse_left(Millis(15_500));
+    let removed = put("servers/a", 2, None);
+    let changes = late.apply(Millis(15_500), BOUND, removed, left);
+    assert_eq!(changes, vec![Change::Lapsed("a".to_string())]);
+    let span = first.served_for(Millis(15_600));
+    assert_eq!(span, Millis(1_600));
+    late.peer_served(Millis(15_600), span);
+    assert_eq!(late.lapse_left(Millis(15_600)), Millis(400));
+    assert!(late.tick(Millis(15_990)).is_empty());
+    assert_eq!(
+        late.tick(Millis(16_000)),
+        vec![Change::Gone("a".to_string())]
+    );
+    // A peer that the store has answered all the while has seen no outage.
+    late.store_failed();
+    late.store_answered(Millis(25_000), OUTAGE);
+    late.peer_served(Millis(25_100), Millis(11_100));
+    assert_eq!(late.lapse_left(Millis(25_100)), CALM);
+}
+
+/// Guards against a process that started while the store was away telling others
+/// that what is missing then was removed.
+#[test]
+fn start_counts_as_return() {
+    let mut world = World::default();
+    assert!(!world.store_answered(Millis(5_000), OUTAGE));
+    assert_eq!(world.lapse_left(Millis(5_500)), Millis(1_500));
+    let ready = put("servers/a", 1, Some(entry("ready")));
+    world.apply(Millis(5_000), BOUND, ready, CALM);
+    // A peer that the store has answered all the while knows better.
+    world.peer_served(Millis(5_600), Millis(9_000));
+    assert_eq!(world.lapse_left(Millis(5_600)), CALM);
+    world.store_answered(Millis(8_000), OUTAGE);
+    assert_eq!(world.lapse_left(Millis(8_000)), CALM);
+}
