rollout: The earliest date of a version counts; assumed ones stay where they are

Found in review, derived from the code and not reproduced: a late date could be taken for an exact one (a reader that was frozen in a waiting call, a slow first call after a takeover) and then went before the right estimates of all others; a process that starts after two namings lists only the newer one and dropped what it was told of the other; a process that stood still for longer than the four seconds in which dates were told kept its own; and what a process assumes at its start spread through deltas.

Change: there are no exact dates; the earliest counts, and any goes before an assumed one, which is not passed on. A version between known ones is taken from others. Dates are told until the bound has passed. A read counts as waiting only if it follows the answer before it at once.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -133,9 +133,6 @@
     } else {
         store.watch("", at, call).await?
     };
-    let took = changes
-        .as_ref()
-        .map_or(Millis(0), |_| node.now().since(asked));
     let delta = match changes {
         Some(delta) => delta,
         // The first read, or a history that is gone.
@@ -144,7 +141,7 @@
     let (is_back, left) = {
         let mut world = node.world();
         let is_back = world.store_answered(node.now(), least_outage(node));
-        world.watch.took(took);
+        world.watch.called(node.now(), asked);
         (is_back, world.lapse_left(node.now()))
     };
     node.apply(delta, left, "store");
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -49,13 +49,6 @@
 /// Known processes named in the answer to one that is new.
 const MAX_NAMED_NEW: usize = 64;
 
-/// Age up to which datagrams tell of a version: all processes that reach others
-/// have heard by then when it was named.
-const NAMED_AGE: Millis = Millis(4_000);
-
-/// Age up to which a process that is new is told of a version.
-const NEWCOMER_AGE: Millis = Millis(60_000);
-
 /// Largest datagram read.
 const MAX_DATAGRAM: usize = 60 << 10;
 
@@ -288,11 +281,11 @@
 
     fn datagram(&self, now: Millis, named: usize, hello: bool, near: bool) -> Datagram {
         let own = self.node.settings();
-        let is_answer = named >= MAX_NAMED_NEW;
-        let age = if is_answer { NEWCOMER_AGE } else { NAMED_AGE };
         let (revision, versions, served_for) = {
             let world = self.node.world();
-            let versions = world.versions.since(now.since(age));
+            // Until the bound passes: a process that heard late, or stood still,
+            // is told when the version was named.
+            let versions = world.versions.since(now.since(own.rollout));
             let versions = versions.map(|n| NamedDoc::new(now, &n)).collect();
             (world.replica.at(), versions, world.served_for(now).0)
         };
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -75,9 +75,6 @@
     /// Time since it was named, in milliseconds, at most.
     #[prost(uint64, tag = "3")]
     pub age: u64,
-    /// True when the age is right to a few tenths of a second.
-    #[prost(bool, tag = "4")]
-    pub exact: bool,
 }
 
 /// A refused request, which may come again at another entry.
@@ -278,7 +275,6 @@
             model: named.model.clone(),
             version: named.version,
             age: now.since(named.naming.at).0,
-            exact: named.naming.exact,
         }
     }
 
@@ -292,7 +288,7 @@
             version: self.version,
             naming: Naming {
                 at: now.since(Millis(self.age)),
-                exact: self.exact,
+                assumed: false,
             },
         }
     }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -204,8 +204,10 @@
                     if is_start {
                         self.versions.name(now, bound, is_start, &model, version);
                     } else {
-                        let (at, exact) = self.watch.change_at(now);
-                        let naming = Naming { at, exact };
+                        let naming = Naming {
+                            at: self.watch.change_at(now),
+                            assumed: false,
+                        };
                         self.versions.insert(&model, version, naming);
                     }
                     changes.push(Change::Version(model, version));
--- a/src/member/watch.rs
+++ b/src/member/watch.rs
@@ -85,27 +85,27 @@
         self.waited = false;
     }
 
-    /// Notes how long the answer took that is applied next.
-    pub fn took(&mut self, span: Millis) {
-        self.waited = span >= WAITED;
+    /// Notes when the call was made whose answer is applied next.
+    ///
+    /// Only a call that follows the answer before it at once shows by its wait
+    /// that there was nothing new when it was made.
+    pub fn called(&mut self, now: Millis, asked: Millis) {
+        let rest = self.complete.map(|at| asked.since(at));
+        let follows = rest.is_some_and(|rest| rest <= GAP.plus(GAP));
+        self.waited = follows && now.since(asked) >= WAITED;
     }
 
-    /// Earliest time at which a change that is read now was acknowledged, and
-    /// whether that is known to a few tenths of a second.
+    /// Earliest time at which a change that is read now was acknowledged.
     ///
     /// A change that ends a wait has just been made. Any other was made since
     /// the replica was last complete: the entry rested, or it takes over from a
     /// reader that has fallen silent.
-    pub fn change_at(&self, now: Millis) -> (Millis, bool) {
+    pub fn change_at(&self, now: Millis) -> Millis {
         if self.waited {
-            return (now.since(LATENCY), true);
+            return now.since(LATENCY);
         }
         let complete = self.complete.filter(|at| now.since(*at) <= MAX_UNHEARD);
-        let Some(at) = complete else {
-            return (now, false);
-        };
-        let at = at.since(GAP).since(LATENCY);
-        (at, now.since(at) <= GAP.plus(GAP).plus(LATENCY))
+        complete.map_or(now, |at| at.since(GAP).since(LATENCY))
     }
 
     /// Notes an answer of the store.
--- a/src/rollout/versions.rs
+++ b/src/rollout/versions.rs
@@ -29,9 +29,8 @@
 pub struct Naming {
     /// Earliest time at which it may have been acknowledged.
     pub at: Millis,
-    /// True when that is right to a few tenths of a second; else the version
-    /// may have been named at any time since.
-    pub exact: bool,
+    /// True when that is only assumed, by a process that started since.
+    pub assumed: bool,
 }
 }
 
@@ -56,12 +55,13 @@
 impl Versions {
     /// Takes a version that was named for `model`.
     pub fn name(&mut self, now: Millis, bound: Millis, is_start: bool, model: &str, version: u64) {
-        let at = if is_start && !self.named.contains_key(model) {
+        let assumed = is_start && !self.named.contains_key(model);
+        let at = if assumed {
             now.since(bound.since(MARGIN).since(LEFT_AT_START))
         } else {
             now
         };
-        let naming = Naming { at, exact: false };
+        let naming = Naming { at, assumed };
         self.insert(model, version, naming);
     }
 
@@ -77,27 +77,37 @@
         }
     }
 
-    /// Takes another process's word on a version that is known here; true when
-    /// it tells more. An exact time goes before an estimate, else the earlier.
+    /// Takes another process's word on a version; true when it tells more.
+    ///
+    /// The earliest time counts, except that any goes before an assumed one. A
+    /// version between those that are known was missed: the store keeps only
+    /// the newest. One that is newer than all comes with the replica.
     pub fn merge(&mut self, named: &Named) -> bool {
-        let list = self.named.get_mut(&named.model);
-        let mut held = list.into_iter().flatten();
-        let Some((_, held)) = held.find(|(version, _)| *version == named.version) else {
+        let Some(list) = self.named.get_mut(&named.model) else {
             return false;
         };
+        let place = list.partition_point(|(version, _)| *version < named.version);
+        let is_full = list.len() >= MAX_NAMED;
         let told = &named.naming;
-        let is_better = if told.exact == held.exact {
-            told.at < held.at
-        } else {
-            told.exact
-        };
-        if is_better {
-            *held = told.clone();
+        match list.get_mut(place) {
+            None => false,
+            Some((version, held)) if *version == named.version => {
+                let is_better = held.assumed || told.at < held.at;
+                if is_better {
+                    *held = told.clone();
+                }
+                is_better
+            }
+            Some(_) if is_full => false,
+            Some(_) => {
+                list.insert(place, (named.version, told.clone()));
+                true
+            }
         }
-        is_better
     }
 
-    /// Namings since `from`, for other processes.
+    /// Namings since `from`, for other processes; what is only assumed is not
+    /// passed on.
     pub fn since(&self, from: Millis) -> impl Iterator<Item = Named> {
         let all = self.named.iter().flat_map(|(model, list)| {
             list.iter().map(move |(version, naming)| Named {
@@ -106,7 +116,7 @@
                 naming: naming.clone(),
             })
         });
-        all.filter(move |named| named.naming.at >= from)
+        all.filter(move |named| named.naming.at >= from && !named.naming.assumed)
     }
 
     /// The newest version, and when it was named; versions begin at 1.
