net: Bound the head of an answer and yield between reads

An upstream that sends interim answers, or the digits of a chunk's size, without end kept the one thread of an entry: hyper parses both in a loop that ends only when it has to wait for bytes. All other requests waited, no time-out ran, and nothing bounded the bytes of the interim answers.

Ruled out: hyper's max_header_size. It bounds one head, and interim answers are dropped before they are counted. Header lines and status lines without end were bounded before, at 400 KB a connection.

A connection of a client now counts what it reads: 64 KB for a head with all its interim answers, then an error; and it lets other tasks run after 256 KB without a wait. The read buffer is bounded by 64 KB too, as dozens of such connections may be open on a machine with 160 MB.

tests/endless_bytes.rs runs the real entry, with 24 callers at upstreams that send without end, and another route that must be served meanwhile.

A chunk size that never ends is given up when the answer is overdue: it holds no memory.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,6 +26,8 @@
 use crate::error::Run;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::meter::Meter;
+use crate::net::meter::Metered;
 use crate::net::rt;
 
 /// Time without an answer to a keep-alive probe or to sent bytes after which
@@ -40,7 +43,15 @@
 /// Probes without answer that end a connection.
 const PROBE_COUNT: u32 = 3;
 
-type Sender = http1::SendRequest<BoxBody>;
+/// Read buffer of a connection, in bytes; one that is full ends a head.
+const MAX_BUFFER: usize = 64 << 10;
+
+/// A connection and the count of what it reads.
+#[derive(Debug)]
+struct Sender {
+    inner: http1::SendRequest<BoxBody>,
+    meter: Arc<Meter>,
+}
 
 common! { key
 /// Bounds of the connections to one address.
@@ -121,8 +132,12 @@
     }
 
     async fn exchange(&self, mut sender: Sender, request: Request<BoxBody>) -> Result<Answer> {
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(Answer { response, sender }),
+        sender.meter.begin();
+        match sender.inner.try_send_request(request).await {
+            Ok(response) => {
+                sender.meter.end();
+                Ok(Answer { response, sender })
+            }
             Err(mut failed) => {
                 // The request comes back only if none of it was written.
                 let run = match failed.take_message() {
@@ -146,12 +161,12 @@
     }
 
     fn put(&self, sender: Sender) {
-        if sender.is_closed() {
+        if sender.inner.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let age = self.limits.idle_age;
-        idle.retain(|(since, sender)| since.elapsed() < age && !sender.is_closed());
+        idle.retain(|(since, sender)| since.elapsed() < age && !sender.inner.is_closed());
         if idle.len() < self.limits.idle {
             idle.push((Instant::now(), sender));
         }
@@ -160,7 +175,7 @@
     async fn connection(&self) -> Result<Sender> {
         while let Some(mut sender) = self.take() {
             // A kept connection that the server has closed fails here, before anything is sent.
-            if sender.ready().await.is_ok() {
+            if sender.inner.ready().await.is_ok() {
                 return Ok(sender);
             }
         }
@@ -185,15 +200,18 @@
 
 async fn connect(addr: SocketAddr, limit: Duration) -> Result<Sender> {
     let stream = open(addr, limit).await?;
-    let io = FuturesIo::new(stream);
-    let (sender, conn) = http1::handshake(io)
+    let meter = Arc::new(Meter::default());
+    let io = FuturesIo::new(Metered::new(stream, meter.clone()));
+    let (inner, conn) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER)
+        .handshake(io)
         .await
         .map_err(|e| Error::new(Code::EngineUnavailable, format!("{addr}: {e}")))?;
     rt::spawn(async move {
         let _ = conn.await;
     })
     .detach();
-    Ok(sender)
+    Ok(Sender { inner, meter })
 }
 
 /// Connects within the usual time.
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -14,6 +14,9 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -202,6 +205,37 @@
     Broken(u64, u64),
     /// Answers after this many milliseconds.
     Slow(u64),
+    /// Sends bytes until the connection is closed.
+    Endless(Endless),
+}
+
+/// Bytes that a stand-in sends without end.
+#[derive(Clone, Debug)]
+pub struct Endless {
+    /// What comes first; `{id}` stands for the id of the request.
+    pub head: &'static str,
+    /// What follows again and again.
+    pub unit: &'static [u8],
+    /// Milliseconds between two units; without any, they are sent in blocks.
+    pub pause: u64,
+}
+
+impl Endless {
+    /// Writes until the other side closes.
+    fn send(&self, stream: &mut TcpStream, id: &str, sent: &AtomicU64) {
+        /// Least length of a block of units.
+        const BLOCK: usize = 16 << 10;
+        let mut bytes = self.head.replace("{id}", id).into_bytes();
+        let count = match self.pause {
+            0 => BLOCK.div_ceil(self.unit.len()),
+            _ => 1,
+        };
+        while stream.write_all(&bytes).is_ok() {
+            sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+            bytes = self.unit.repeat(count);
+            thread::sleep(Duration::from_millis(self.pause));
+        }
+    }
 }
 
 /// A stand-in runner: acts in turn, and keeps what it got.
@@ -209,6 +243,8 @@
 pub struct Runner {
     acts: Arc<Mutex<VecDeque<Act>>>,
     got: Arc<Mutex<Vec<Message>>>,
+    open: Arc<AtomicUsize>,
+    sent: Arc<AtomicU64>,
 }
 
 impl Runner {
@@ -242,6 +278,16 @@
         self.got.lock().unwrap().clone()
     }
 
+    /// Connections on which it sends without end.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Bytes that it sent without end, on all connections.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_message(&mut stream) {
             let id = request.header("x-request-id").unwrap_or("").to_string();
@@ -266,6 +312,12 @@
                     let _ = stream.write_all(b"8\r\nid: 99\nd\r\n");
                     return;
                 }
+                Act::Endless(endless) => {
+                    self.open.fetch_add(1, Ordering::Relaxed);
+                    endless.send(&mut stream, &id, &self.sent);
+                    self.open.fetch_sub(1, Ordering::Relaxed);
+                    return;
+                }
             }
         }
     }
@@ -328,6 +380,15 @@
         assert!(done.is_ok_and(|s| s.success()));
     }
 
+    /// Most memory that the process has held, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+        kilobytes.parse::<u64>().unwrap() << 10
+    }
+
     /// What it has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
