net: Bound answers that are held whole

An entry read 16 MB of each answer that had no end, dropped 16 MB more before it gave up, and held the buffers of all callers at once. Dropping the rest is right for requests, whose sender would otherwise not read the refusal; an upstream may never end.

Answers are now given up at the first byte over the bound, or at once when the stated length is over it. One answer may have 8 MB, a failure 256 KB. Beyond 64 KB each, all answers that are held share 32 MB until their callers have read them.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -34,6 +34,7 @@
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::body::Room;
 use crate::net::client::Client;
 use crate::net::client::Limits;
 use crate::net::rt;
@@ -87,6 +88,10 @@
 /// runners is lost, and no more under any pattern.
 const MIN_RETRY: Millis = Millis(120);
 
+/// Memory for answers that are held whole, in bytes. The processes of a machine
+/// may have 160 MB together.
+const MAX_HELD: usize = 32 << 20;
+
 /// State of an entry.
 pub struct Entry {
     /// Identity, beliefs and peers.
@@ -98,6 +103,8 @@
     clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
     pub(super) repeats: Mutex<Repeats>,
     sizes: Mutex<IndexMap<String, Sizes>>,
+    /// Memory for answers that are held whole.
+    pub(super) room: Arc<Room>,
 }
 
 /// A call as the placement counts it; it ends when this is dropped.
@@ -140,6 +147,7 @@
             clients: Mutex::default(),
             repeats: Mutex::default(),
             sizes: Mutex::default(),
+            room: Room::new(MAX_HELD),
             node,
         });
         let held = Arc::downgrade(&entry);
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -77,7 +77,7 @@
         .ok_or_else(|| Error::new(Code::RouteUnknown, format!("{host}{}", parts.uri.path())))?;
     let call = headers::call(&parts.headers);
     let organisation = authorize(&routing, &route, &call)?;
-    let body = body::read(incoming, routing.limits().body).await?;
+    let body = body::read_request(incoming, routing.limits().body).await?;
     let target = parts
         .uri
         .path_and_query()
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -48,8 +48,11 @@
 /// not run the request; more would use up the budget of all others.
 const EXTRA_SENDS: u32 = 1;
 
-/// Largest answer that is held whole.
-const MAX_ANSWER: usize = 16 << 20;
+/// Largest answer that is held whole, in bytes.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// Largest body of a failure, in bytes.
+const MAX_FAILURE: usize = 256 << 10;
 
 /// Time after which to come back when no upstream is known to be open.
 const NOWHERE_RETRY: Millis = Millis(600);
@@ -456,7 +459,12 @@
             content,
         }));
     }
-    let bytes = body::read(response.into_body(), MAX_ANSWER)
+    let most = if status.is_server_error() {
+        MAX_FAILURE
+    } else {
+        MAX_ANSWER
+    };
+    let bytes = body::read_within(response.into_body(), most, &entry.room)
         .await
         .map_err(|e| lost(e.detail))?;
     client.give_back(kept);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -104,7 +104,7 @@
 
 async fn read_body(entry: &Entry, incoming: Incoming) -> Result<Bytes> {
     let limit = Duration::from_millis(entry.settings.head_ms);
-    let reading = body::read(incoming, entry.settings.max_body);
+    let reading = body::read_request(incoming, entry.settings.max_body);
     client::timeout(limit, Code::HeaderTooSlow, reading)
         .await
         .map_err(|e| e.with_run(Run::NotRun))
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -201,7 +201,7 @@
     }
 
     async fn slow(&self, request: Request<Incoming>) -> Response<BoxBody> {
-        let text = body::read(request.into_body(), 64)
+        let text = body::read_request(request.into_body(), 64)
             .await
             .unwrap_or_default();
         let factor = String::from_utf8_lossy(&text).trim().parse().unwrap_or(1);
@@ -336,7 +336,7 @@
     async fn service(&self, request: Request<Incoming>) -> Response<BoxBody> {
         let key = header(&request, "idempotency-key");
         let path = request.uri().path().to_string();
-        let Ok(sent) = body::read(request.into_body(), MAX_BODY).await else {
+        let Ok(sent) = body::read_request(request.into_body(), MAX_BODY).await else {
             return standin::text(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
         };
         let rank = self.slots.rank(0);
@@ -400,6 +400,6 @@
 }
 
 async fn read_json<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T> {
-    let bytes = body::read(request.into_body(), MAX_BODY).await?;
+    let bytes = body::read_request(request.into_body(), MAX_BODY).await?;
     serde_json::from_slice(&bytes).map_err(|e| Error::new(Code::RequestMalformed, e.to_string()))
 }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -107,7 +107,7 @@
             return standin::text(StatusCode::NOT_FOUND, "no such path");
         };
         if request.method() == Method::PUT {
-            let Ok(text) = body::read(request.into_body(), MAX_VALUE).await else {
+            let Ok(text) = body::read_request(request.into_body(), MAX_VALUE).await else {
                 return standin::text(StatusCode::PAYLOAD_TOO_LARGE, "value too large");
             };
             self.put(key, String::from_utf8_lossy(&text));
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -240,6 +240,21 @@
     assert_failed(&world.flood(endless, 4_000));
 }
 
+#[test]
+fn body_without_length() {
+    whole(10, "\r\n", b"a");
+}
+
+#[test]
+fn body_of_absurd_length() {
+    whole(11, "Content-Length: 9000000000000000\r\n\r\n", b"a");
+}
+
+#[test]
+fn chunks_without_end() {
+    whole(12, "Transfer-Encoding: chunked\r\n\r\n", b"4\r\nabcd\r\n");
+}
+
 #[test]
 fn chunk_extension_without_end() {
     whole(13, "Transfer-Encoding: chunked\r\n\r\n4;", b"a");
@@ -256,6 +271,20 @@
     whole(15, extra, b"X-Again: b\r\n");
 }
 
+/// Guards against a failure whose body is read like an answer's.
+#[test]
+fn failure_without_end() {
+    let world = world(16, "idempotent");
+    let endless = Endless {
+        head: "HTTP/1.1 500 X\r\nX-Request-Id: {id}\r\nX-Response-Seal: seal\r\n\r\n",
+        unit: b"a",
+        pause: 0,
+    };
+    assert_failed(&world.flood(endless, 4_000));
+    let taken = world.bytes_a_send();
+    assert!(taken < MAX_TAKEN, "{taken} bytes a connection");
+}
+
 /// Guards against a slow body that holds a request beyond its deadline.
 #[test]
 fn slow_body_ends_at_the_deadline() {
