direct: Read the body of a refusal within a bound and a time

A 503 with X-Not-Run states that the request was not run, whatever its body does. The body was read like an answer's: 16 MB and 16 MB more, or until the deadline, and then the caller of a request that may run once got 502, with its fate open, in place of another upstream.

The body now has 16 KB and 250 ms. If it is not whole by then, the connection is closed, the upstream counts as failed, and the request goes elsewhere.

Before: slow_refusal_without_end left: 502, right: 503.

--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -20,6 +20,7 @@
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::client;
 use crate::net::client::Client;
 use crate::net::client::Kept;
 use crate::net::events::Event;
@@ -54,6 +55,13 @@
 /// Largest body of a failure, in bytes.
 const MAX_FAILURE: usize = 256 << 10;
 
+/// Largest body of an answer that states that the request was not run, in
+/// bytes; a longer one ends the connection.
+const MAX_NOT_RUN: usize = 16 << 10;
+
+/// Time for the body of such an answer. What it states holds without it.
+const NOT_RUN_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time after which to come back when no upstream is known to be open.
 const NOWHERE_RETRY: Millis = Millis(600);
 
@@ -314,8 +322,12 @@
             }
             Brought::Answer(finish(entry, head, flight, target, client))
         }
-        Ok(Reached::NotRun { busy }) => {
-            flight.outcome(if busy { Outcome::Busy } else { Outcome::Wrong });
+        Ok(Reached::NotRun { busy, whole }) => {
+            flight.outcome(match (busy, whole) {
+                (_, false) => Outcome::Failed,
+                (true, true) => Outcome::Busy,
+                (false, true) => Outcome::Wrong,
+            });
             Brought::NotRun { busy }
         }
         Ok(Reached::Failure(response)) => {
@@ -396,7 +408,7 @@
 
 enum Reached {
     Answer(Head),
-    NotRun { busy: bool },
+    NotRun { busy: bool, whole: bool },
     Failure(Response<BoxBody>),
 }
 
@@ -433,12 +445,14 @@
         entry.placer().on_pace(now, target, load.pace);
     }
     if reply.not_run {
-        let whole = body::read(response.into_body(), MAX_ANSWER).await;
-        if whole.is_ok() {
+        let reading = body::read(response.into_body(), MAX_NOT_RUN);
+        let read = client::timeout(NOT_RUN_TIMEOUT, Code::UpstreamLost, reading).await;
+        let whole = read.is_ok();
+        if whole {
             client.give_back(kept);
         }
         let busy = status != StatusCode::MISDIRECTED_REQUEST;
-        return Ok(Reached::NotRun { busy });
+        return Ok(Reached::NotRun { busy, whole });
     }
     let mut passed = headers::end_to_end(response.headers());
     if job.route.stream && status.is_success() {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -297,6 +297,36 @@
     assert_failed(&world.flood(endless, 1_500));
 }
 
+/// Guards against a refusal that is taken for a run because its body does not
+/// end: the request may run once, and goes elsewhere.
+fn not_run(last: u8, pause: u64) {
+    let world = world(last, "non_idempotent");
+    let act = Act::Endless(Endless {
+        head: "HTTP/1.1 503 X\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n\r\n",
+        unit: b"a",
+        pause,
+    });
+    for runner in &world.runners {
+        runner.will([act.clone()]);
+    }
+    let answer = call(world.entry.callers, &text("a", 4_000)).expect("an answer");
+    assert_eq!(answer.status(), 503, "both refused");
+    assert_eq!(world.sends(), 2);
+    until(|| world.open() == 0);
+    let taken = world.bytes_a_send();
+    assert!(taken < MAX_TAKEN, "{taken} bytes a connection");
+}
+
+#[test]
+fn refusal_without_end() {
+    not_run(20, 0);
+}
+
+#[test]
+fn slow_refusal_without_end() {
+    not_run(21, 20);
+}
+
 /// Guards against bytes after a whole answer that reach a caller, or keep
 /// their connection open.
 #[test]
