direct: Bound a piece by its stated length

An agent read up to 64 MB of each piece, ten at once, from the origin, a peer or its own runner's stage.

A piece is now read up to the length that the configuration states, or 8 MB where it states none.

piece_without_end needs the new parameter and cannot be run on the code before.

--- a/src/direct/fill.rs
+++ b/src/direct/fill.rs
@@ -61,6 +61,9 @@
 /// Longest age of a check of the staged pieces at an order: they may turn bad.
 const CHECK_AGE: Millis = Millis(1_200);
 
+/// Largest piece where the configuration does not state its length, in bytes.
+const MAX_PIECE: usize = 8 << 20;
+
 /// Wait after digests could not be read.
 const DIGESTS_RETRY: Millis = Millis(250);
 
@@ -396,6 +399,17 @@
         pool.engine.as_ref().map(|e| e.pieces)
     }
 
+    /// Most bytes that are read of a piece.
+    fn piece_limit(&self) -> usize {
+        let settings = self.node.settings();
+        let routing = self.node.world().routing().cloned();
+        let stated = routing.and_then(|routing| {
+            let engine = routing.pool(&settings.pool)?.engine.as_ref()?;
+            Some(engine.piece_bytes)
+        });
+        stated.filter(|bytes| *bytes > 0).unwrap_or(MAX_PIECE)
+    }
+
     fn origin(&self) -> Option<(Origin, String)> {
         let routing = self.node.world().routing().cloned()?;
         let found = routing.pools().find_map(|p| p.origin.clone())?;
@@ -441,8 +455,9 @@
         // The stage still holds the version before, unless the process or the
         // runner started again in the middle of a rollout.
         let listed = if was_loaded { Vec::new() } else { listed };
+        let limit = self.piece_limit();
         for index in listed {
-            if let Ok(Some(bytes)) = self.runner.read_staged(&model, index).await
+            if let Ok(Some(bytes)) = self.runner.read_staged(&model, index, limit).await
                 && pieces.insert(now, index, bytes)
             {
                 staged.insert(index);
@@ -524,12 +539,15 @@
             }
         };
         let origin = self.origin();
+        let limit = self.piece_limit();
         rt::spawn(async move {
             let bytes = match (&source, address, origin) {
                 (Source::Origin, _, Some((origin, _))) => {
-                    origin.piece(&model, version, index).await
+                    origin.piece(&model, version, index, limit).await
+                }
+                (Source::Agent(_), Some(addr), _) => {
+                    from_peer(addr, &model, version, index, limit).await
                 }
-                (Source::Agent(_), Some(addr), _) => from_peer(addr, &model, version, index).await,
                 _ => Err(Error::new(Code::ChunkMissing, "source is gone")),
             };
             // The receiver ends with the process.
@@ -630,8 +648,9 @@
             }
         };
         let mut good = true;
+        let limit = self.piece_limit();
         for index in 0..count {
-            let bytes = match self.runner.read_staged(model, index).await {
+            let bytes = match self.runner.read_staged(model, index, limit).await {
                 Ok(bytes) => bytes.unwrap_or_default(),
                 Err(error) => {
                     info!(self.node.journal().log(), "load: stage cannot be read"; &error);
@@ -698,7 +717,8 @@
 
     /// A piece of the version that lies on the stage; the receiver checks it.
     async fn lazy(&self, model: &str, index: u32) -> Option<Bytes> {
-        match self.runner.read_staged(model, index).await {
+        let limit = self.piece_limit();
+        match self.runner.read_staged(model, index, limit).await {
             Ok(bytes) => bytes,
             Err(error) => {
                 info!(self.node.journal().log(), "load: stage cannot be read"; &error);
@@ -737,9 +757,13 @@
     ))
 }
 
-async fn from_peer(addr: SocketAddr, model: &str, version: u64, index: u32) -> Result<Bytes> {
-    /// Largest piece, in bytes.
-    const MAX_PIECE: usize = 64 << 20;
+async fn from_peer(
+    addr: SocketAddr,
+    model: &str,
+    version: u64,
+    index: u32,
+    limit: usize,
+) -> Result<Bytes> {
     let peer = Client::new(addr);
     let request = Request::get(format!(
         "{PATH}?model={model}&version={version}&index={index}"
@@ -747,7 +771,7 @@
     .header("host", addr.to_string())
     .body(body::full(""))
     .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-    let call = client::exchange(&peer, request, MAX_PIECE);
+    let call = client::exchange(&peer, request, limit);
     let (status, bytes) = client::timeout(PULL_TIMEOUT, Code::SourceStalled, call).await?;
     if status != StatusCode::OK {
         return Err(Error::new(Code::ChunkMissing, format!("status {status}")));
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -22,9 +22,6 @@
 /// Largest report or list, in bytes.
 const MAX_REPORT: usize = 1 << 20;
 
-/// Largest piece, in bytes.
-const MAX_PIECE: usize = 64 << 20;
-
 common! { value
 /// What a runner says of itself.
 pub struct Report {
@@ -152,10 +149,10 @@
         Ok(decode::<ListDoc>(status, &bytes)?.held)
     }
 
-    /// Reads a staged piece; none when it is not staged.
-    pub async fn read_staged(&self, model: &str, index: u32) -> Result<Option<Bytes>> {
+    /// Reads a staged piece of at most `most` bytes; none when it is not staged.
+    pub async fn read_staged(&self, model: &str, index: u32, most: usize) -> Result<Option<Bytes>> {
         let path = format!("/api/stage-get/{model}?num={index}");
-        let (status, bytes) = self.call("GET", path, Bytes::new(), MAX_PIECE).await?;
+        let (status, bytes) = self.call("GET", path, Bytes::new(), most).await?;
         match status {
             StatusCode::NOT_FOUND => Ok(None),
             status if status.is_success() => Ok(Some(bytes)),
--- a/src/platform/weights.rs
+++ b/src/platform/weights.rs
@@ -24,9 +24,6 @@
 /// Largest list of digests, in bytes.
 const MAX_MANIFEST: usize = 4 << 20;
 
-/// Largest piece, in bytes.
-const MAX_PIECE: usize = 64 << 20;
-
 /// Client of an origin.
 #[derive(Debug)]
 pub struct Origin {
@@ -80,10 +77,10 @@
         })
     }
 
-    /// Reads a piece; its content is not checked here.
-    pub async fn piece(&self, model: &str, version: u64, index: u32) -> Result<Bytes> {
+    /// Reads a piece of at most `most` bytes; its content is not checked here.
+    pub async fn piece(&self, model: &str, version: u64, index: u32, most: usize) -> Result<Bytes> {
         let path = format!("/api/piece/{model}?num={index}&version={version}");
-        self.get(&path, PIECE_TIMEOUT, MAX_PIECE).await
+        self.get(&path, PIECE_TIMEOUT, most).await
     }
 
     async fn get(&self, path: &str, limit: Duration, most: usize) -> Result<Bytes> {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -10,8 +10,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chervilquay::error::Code;
+use chervilquay::platform::runner::Runner as Calls;
 use chervilquay::platform::standin;
 use chervilquay::platform::standin::RouteSpec;
+use chervilquay::platform::weights::Origin;
 use support::prepared::Act;
 use support::prepared::Endless;
 use support::prepared::Entry;
@@ -474,3 +477,33 @@
     eprintln!("{got} of 20 requests");
     assert!((1..=5).contains(&got), "{got} of 20 requests");
 }
+
+/// Guards against a piece that is read for as long as its bytes come, at the
+/// origin and on the stage; several are read at once.
+#[test]
+fn piece_without_end() {
+    const PIECE: usize = 32 << 10;
+    let ip = Ipv4Addr::new(127, 0, 21, 44);
+    let (runner, addr) = Runner::start(ip);
+    let act = Act::Endless(Endless {
+        head: "HTTP/1.1 200 OK\r\n\r\n",
+        unit: b"a",
+        pause: 0,
+    });
+    runner.will([act.clone(), act]);
+    let calls = async {
+        let pulled = Origin::new(addr).piece("m", 1, 0, PIECE).await;
+        let staged = Calls::new(addr).read_staged("m", 0, PIECE).await;
+        let start = Instant::now();
+        while runner.open() > 0 {
+            assert!(start.elapsed() < HUNG, "a connection stays open");
+            smol::Timer::after(Duration::from_millis(10)).await;
+        }
+        [pulled.map(|_| ()), staged.map(|_| ())]
+    };
+    for outcome in chervilquay::net::rt::run(1, calls) {
+        let error = outcome.expect_err("no piece is so long");
+        assert_eq!(error.code, Code::BodyTooLarge, "{error}");
+    }
+    assert!(runner.sent() / 2 < MAX_TAKEN, "{} bytes", runner.sent());
+}
