--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -24,6 +24,13 @@
 use crate::route::silence::Step;
 use crate::table::routing::Repeat;
 
+/// Time in which bytes that bring no new event end a stream: an upstream sends
+/// its events whole, so what comes slowly is none.
+const NO_EVENT: Millis = Millis(2_000);
+
+/// Bytes of events that the caller has already, in a row, that end a stream.
+const MAX_REPEATED: usize = 1 << 20;
+
 /// Body of an answer that is a stream of events.
 ///
 /// The body owns the stream from the upstream: when the caller leaves, the
@@ -32,7 +39,7 @@
     tried.targets.push(source.target);
     let stream = async_stream::stream! {
         let began = entry.node.now();
-        let mut relay = Relay { entry, job, tried, last: None, began, passed: began, pause: Millis(0), over: false };
+        let mut relay = Relay { entry, job, tried, last: None, began, passed: began, pause: Millis(0), waiting: None, repeated: 0, over: false };
         let mut source = source;
         loop {
             for event in std::mem::take(&mut source.events) {
@@ -100,6 +107,10 @@
     passed: Millis,
     /// Longest pause between two events.
     pause: Millis,
+    /// When the first bytes came after the last new event.
+    waiting: Option<Millis>,
+    /// Bytes of events that the caller has already, since the last new one.
+    repeated: usize,
     /// True once the stream has ended, whole or not.
     over: bool,
 }
@@ -116,24 +127,42 @@
     /// True when the event is the next one; false when the caller has it already.
     fn check(&mut self, event: &crate::net::events::Event) -> Result<bool> {
         let now = self.entry.node.now();
+        if let (Some(id), Some(last)) = (event.id, self.last)
+            && id <= last
+        {
+            self.repeated += event.bytes.len();
+            return Ok(false);
+        }
         self.pause = self.pause.max(now.since(self.passed));
         self.passed = now;
+        self.reset_wait();
         let Some(id) = event.id else {
             return Ok(true);
         };
-        if let Some(last) = self.last {
-            if id <= last {
-                return Ok(false);
-            }
-            if id != last + 1 {
-                let detail = format!("event {id} after {last}");
-                return Err(Error::new(Code::UpstreamLost, detail).with_run(Run::Partial));
-            }
+        if let Some(last) = self.last
+            && id != last + 1
+        {
+            let detail = format!("event {id} after {last}");
+            return Err(Error::new(Code::UpstreamLost, detail).with_run(Run::Partial));
         }
         self.last = Some(id);
         Ok(true)
     }
 
+    /// Starts to wait for a new event anew.
+    fn reset_wait(&mut self) {
+        self.waiting = None;
+        self.repeated = 0;
+    }
+
+    /// Time for which bytes without a new event are still read; none without such bytes.
+    fn event_left(&self, now: Millis) -> Option<Millis> {
+        if self.repeated > MAX_REPEATED {
+            return Some(Millis(0));
+        }
+        self.waiting.map(|at| at.plus(NO_EVENT).since(now))
+    }
+
     /// Reads on, here or elsewhere.
     ///
     /// A source that breaks off is left at once. A silent one may still work,
@@ -148,24 +177,30 @@
         loop {
             let movable = self.job.route.repeat == Repeat::Resume
                 && self.tried.runs + 1 < self.job.route.attempts;
-            match silence.step(self.entry.node.now(), movable) {
+            let now = self.entry.node.now();
+            let event_left = self.event_left(now);
+            match silence.step(now, movable) {
                 Step::Cut => {
                     let error = Error::new(Code::DeadlineExceeded, "stream is cut at its deadline");
                     return Err(error.with_run(Run::Partial));
                 }
+                _ if event_left == Some(Millis(0)) => {
+                    let error = Error::new(Code::UpstreamLost, "bytes without a new event");
+                    return self.replace(source, error).await;
+                }
                 Step::Read(span) => {
+                    let span = event_left.map_or(span, |left| left.min(span));
                     let own = async { Some(read(&mut source).await) };
                     let silent = async {
                         smol::Timer::after(span.duration()).await;
                         None
                     };
                     match own.or(silent).await {
-                        Some(Ok(more)) => return Ok(Next::new(more, source)),
-                        Some(Err(error)) => {
-                            let from = broke(&self.entry, &self.job, source);
-                            self.tried.runs += 1;
-                            return self.resume(&from, error).await.map(Next::More);
+                        Some(Ok(more)) => {
+                            self.waiting.get_or_insert(self.entry.node.now());
+                            return Ok(Next::new(more, source));
                         }
+                        Some(Err(error)) => return self.replace(source, error).await,
                         None => {}
                     }
                 }
@@ -184,6 +219,13 @@
         }
     }
 
+    /// Leaves a source that has broken off, and goes on elsewhere.
+    async fn replace(&mut self, source: Source, error: Error) -> Result<Next> {
+        let from = broke(&self.entry, &self.job, source);
+        self.tried.runs += 1;
+        self.resume(&from, error).await.map(Next::More)
+    }
+
     /// Asks another upstream while the silent source is still read; the first
     /// that brings an event goes on, and the other is closed.
     async fn beside(
@@ -229,6 +271,7 @@
                         }
                         Err((from, error)) => self.moved(&from, target, &error.detail),
                     }
+                    self.reset_wait();
                     return Ok(Beside::Next(Next::More(*next)));
                 }
                 Content::Whole(_) => true,
@@ -266,6 +309,7 @@
                 Brought::Answer(answer) => match answer.content {
                     Content::Stream(next) => {
                         self.tried.targets.push(target);
+                        self.reset_wait();
                         return Ok(*next);
                     }
                     Content::Whole(_) => return Err(error.with_run(Run::Partial)),
@@ -312,6 +356,9 @@
 /// Reads more events; false at the end of the stream.
 async fn read(source: &mut Source) -> Result<bool> {
     let lost = |detail: String| Error::new(Code::UpstreamLost, detail).with_run(Run::Partial);
+    if source.framer.is_over() {
+        return Err(lost("event is too long".to_string()));
+    }
     match source.body.frame().await {
         Some(Ok(frame)) => {
             if let Some(data) = frame.data_ref() {
