--- a/tests/place_version.rs
+++ b/tests/place_version.rs
@@ -85,7 +85,7 @@
     versions.insert("m", 2, naming);
     placer.set_versions(versions, BOUND);
     for member in members {
-        let key = placer.find(&member.id).unwrap();
+        let key = placer.find(&member.id).expect("a member");
         for _ in 0..calls {
             placer.sent(Millis(101_000), key, &want(), 100.0);
         }
