--- a/tests/version_late.rs
+++ b/tests/version_late.rs
@@ -19,6 +19,9 @@
 /// no request may begin on an older one.
 const BOUND: Duration = Duration::from_millis(4_000);
 
+/// Time for which entries stand still.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Time that a request waits at its runner, in milliseconds.
 const QUEUE_MS: u64 = 650;
 
@@ -38,9 +41,10 @@
     prepared::send(callers, &text).map_or(0, |m| m.status())
 }
 
-/// Names a version while the two readers of a zone stand still, for `silence`
-/// or for good, and gives when the last request began on the version before.
-fn last_begin(net: u8, silence: Option<Duration>) -> Option<Duration> {
+/// Names a version while some entries of a zone stand still, for `silence` or
+/// for good; the first two read the store, and the third takes requests. Gives
+/// when the last of these began on the version before.
+fn last_begin(net: u8, still: &[usize], silence: Option<Duration>) -> Option<Duration> {
     let address = |last: u8| Ipv4Addr::new(127, 0, net, last);
     let (store, addr) = Store::start(address(1));
     let (runner, at) = Runner::start(address(1));
@@ -62,8 +66,8 @@
     let late = &entries[2];
     runner.will((0..500).map(|_| Act::Events(1, 1)));
     assert_eq!(stream(late.callers, "before"), 200);
-    entries[0].signal("-STOP");
-    entries[1].signal("-STOP");
+    let signal = |name: &str| still.iter().for_each(|at| entries[*at].signal(name));
+    signal("-STOP");
     store.put("op/version/m", &json!({"model": "m", "version": 2}));
     let named = Instant::now();
     let mut calls = Vec::new();
@@ -71,8 +75,7 @@
     while named.elapsed() < BOUND + BOUND / 4 {
         if is_still && silence.is_some_and(|silence| named.elapsed() > silence) {
             is_still = false;
-            entries[0].signal("-CONT");
-            entries[1].signal("-CONT");
+            signal("-CONT");
         }
         if !is_slow && named.elapsed() > BOUND * 4 / 5 {
             // From here on, requests wait at the runner until after the bound.
@@ -86,8 +89,7 @@
     }
     let answered = calls.into_iter().filter_map(|call| call.join().ok());
     assert!(answered.filter(|status| *status == 200).count() > 5);
-    entries[0].signal("-CONT");
-    entries[1].signal("-CONT");
+    signal("-CONT");
     runner.began().into_iter().max().map(|at| at - named)
 }
 
@@ -96,7 +98,7 @@
 /// hears of it late, and from requests that wait at their runner by then.
 #[test]
 fn late_hearing_does_not_prolong_a_version() {
-    let last = last_begin(8, None);
+    let last = last_begin(8, &[0, 1], None);
     assert!(
         last.is_none_or(|last| last < BOUND),
         "began on version 1 {last:?} after the naming of 2"
@@ -107,7 +109,18 @@
 /// one, and tell the others a later date.
 #[test]
 fn thawed_readers_do_not_prolong_a_version() {
-    let last = last_begin(10, Some(Duration::from_millis(1_500)));
+    let last = last_begin(10, &[0, 1], Some(SILENCE));
+    assert!(
+        last.is_none_or(|last| last < BOUND),
+        "began on version 1 {last:?} after the naming of 2"
+    );
+}
+
+/// Guards against an entry that stood still as the version was named, and
+/// counts the bound from when it went on.
+#[test]
+fn frozen_entry_does_not_prolong_a_version() {
+    let last = last_begin(11, &[2], Some(SILENCE));
     assert!(
         last.is_none_or(|last| last < BOUND),
         "began on version 1 {last:?} after the naming of 2"
