bench place: Set the number of entries and runners, and how often they report

The experiment played seven entries and nine runners that report every 25 ms. A zone of a large deployment has twenty entries, each of which reports every 100 ms at its own time. The size is now an argument, and reports can be spread over the interval.

--- a/src/bench/place/load.rs
+++ b/src/bench/place/load.rs
@@ -2,7 +2,6 @@
 
 use fastrand::Rng;
 
-use crate::bench::place::RUNNERS;
 use crate::prelude::*;
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
@@ -122,9 +121,16 @@
     pub worth: f64,
 }
 
-/// Requests of a run, in order of arrival: a Poisson process at the load of the pattern.
-pub fn arrivals(pattern: Pattern, engine: &Engine, rng: &mut Rng, run_ms: f64) -> Vec<Arrival> {
-    let capacity = RUNNERS as f64 / engine.completion_interval();
+/// Requests of a run to `runners` runners, in order of arrival: a Poisson process at the
+/// load of the pattern.
+pub fn arrivals(
+    pattern: Pattern,
+    engine: &Engine,
+    runners: usize,
+    rng: &mut Rng,
+    run_ms: f64,
+) -> Vec<Arrival> {
+    let capacity = runners as f64 / engine.completion_interval();
     let mut arrivals = Vec::new();
     let mut at = 0.0;
     loop {
--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -36,18 +36,11 @@
 use crate::table::routing::Pool;
 use crate::table::routing::Routing;
 
-/// Number of entries that share the load.
-const ENTRIES: usize = 7;
-
-/// Number of runners in the pool.
-pub const RUNNERS: usize = 9;
-
 /// Time in which requests arrive, in milliseconds.
 const RUN_MS: f64 = 30_000.0;
 
-/// Interval at which entries receive the states of runners and each other's calls, in
-/// milliseconds.
-const EXCHANGE_MS: f64 = 25.0;
+/// Interval at which faults are applied, in milliseconds.
+const FAULT_INTERVAL_MS: f64 = 25.0;
 
 /// Share of a request's worth that a late answer earns.
 const LATE_SHARE: f64 = 0.25;
@@ -73,6 +66,32 @@
 }
 }
 
+common! { value
+/// Entries and runners of a run, and how often entries learn of each other's calls.
+pub struct Fleet {
+    /// Number of entries that share the load.
+    pub entries: usize,
+    /// Number of runners in the pool.
+    pub runners: usize,
+    /// Interval at which entries receive the states of runners and each other's calls,
+    /// in milliseconds.
+    pub exchange_ms: f64,
+    /// Groups of entries and runners that report in turn within an interval.
+    pub phases: usize,
+}
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet {
+            entries: 7,
+            runners: 9,
+            exchange_ms: 25.0,
+            phases: 1,
+        }
+    }
+}
+
 /// Every policy with its name, the system's own first.
 pub const POLICIES: [(&str, Policy); 3] = [
     ("chervilquay", Policy::Own),
@@ -165,6 +184,7 @@
 
 /// State of a run.
 struct Simulation {
+    fleet: Fleet,
     policy: Policy,
     engine: Engine,
     runners: Vec<Runner>,
@@ -183,12 +203,18 @@
     event_count: f64,
 }
 
-/// Runs a load pattern under a policy; a seed gives the same results each time.
+/// Runs a load pattern under a policy before the usual fleet; a seed gives the same
+/// results each time.
 pub fn run(pattern: Pattern, policy: Policy, seed: u64) -> Summary {
+    run_fleet(Fleet::default(), pattern, policy, seed)
+}
+
+/// Runs a load pattern under a policy before this fleet.
+pub fn run_fleet(fleet: Fleet, pattern: Pattern, policy: Policy, seed: u64) -> Summary {
     let mut rng = Rng::with_seed(seed);
     let engine = engine();
-    let arrivals = load::arrivals(pattern, &engine, &mut rng, RUN_MS);
-    let mut simulation = Simulation::new(policy, engine, arrivals, rng);
+    let arrivals = load::arrivals(pattern, &engine, fleet.runners, &mut rng, RUN_MS);
+    let mut simulation = Simulation::new(fleet, policy, engine, arrivals, rng);
     simulation.simulate(pattern);
     simulation.summary()
 }
@@ -210,7 +236,18 @@
 
 impl Simulation {
     /// Creates idle runners, entries that know them all, and the requests to send.
-    fn new(policy: Policy, engine: Engine, arrivals: Vec<Arrival>, mut rng: Rng) -> Simulation {
+    fn new(
+        fleet: Fleet,
+        policy: Policy,
+        engine: Engine,
+        arrivals: Vec<Arrival>,
+        mut rng: Rng,
+    ) -> Simulation {
+        let Fleet {
+            entries: entry_count,
+            runners: runner_count,
+            ..
+        } = fleet;
         let pool = Pool {
             name: "p".to_string(),
             health_path: String::new(),
@@ -233,8 +270,8 @@
                 layers: Some(engine.layers),
             }],
         };
-        let members: Vec<Registration> = (0..RUNNERS).map(registration).collect();
-        let entries = (0..ENTRIES).map(|index| {
+        let members: Vec<Registration> = (0..runner_count).map(registration).collect();
+        let entries = (0..entry_count).map(|index| {
             let mut placer = Placer::new("z", index as u64);
             placer.set_members(&members, &routing);
             placer
@@ -242,7 +279,7 @@
         let requests: Vec<Request> = arrivals
             .into_iter()
             .map(|arrival| Request {
-                entry: rng.usize(0..ENTRIES),
+                entry: rng.usize(0..entry_count),
                 arrival,
                 target: None,
                 call: None,
@@ -257,14 +294,15 @@
             .collect();
         let numbered = requests.iter().enumerate();
         Simulation {
+            fleet,
             policy,
-            runners: vec![Runner::new(&engine); RUNNERS],
+            runners: vec![Runner::new(&engine); runner_count],
             entries: entries.collect(),
             to_send: numbered
                 .map(|(i, r)| ((micros(r.arrival.at), i), ()))
                 .collect(),
-            open_calls: vec![vec![0; RUNNERS]; ENTRIES],
-            sizes: vec![Default::default(); ENTRIES],
+            open_calls: vec![vec![0; runner_count]; entry_count],
+            sizes: vec![Default::default(); entry_count],
             requests,
             engine,
             rng,
@@ -276,7 +314,9 @@
     /// Advances the clock from event to event until the last caller has left.
     fn simulate(&mut self, pattern: Pattern) {
         let mut now = 0.0;
-        let mut exchanged_at = 0.0;
+        let (mut exchanged_at, mut fault_at) = (0.0, 0.0);
+        let interval = self.fleet.exchange_ms / self.fleet.phases as f64;
+        let mut phase = 0;
         while now < RUN_MS + CALLER_WAIT_MS {
             let pass_end = self.runners.iter().filter_map(Runner::pass_end);
             let pass_end = pass_end.fold(f64::INFINITY, f64::min);
@@ -287,14 +327,19 @@
                 .map_or(f64::INFINITY, |(at, _)| *at as f64 / 1_000.0);
             now = pass_end
                 .min(send_at)
-                .min(exchanged_at + EXCHANGE_MS)
+                .min(exchanged_at + interval)
+                .min(fault_at + FAULT_INTERVAL_MS)
                 .max(now);
-            if now >= exchanged_at + EXCHANGE_MS {
+            if now >= exchanged_at + interval {
                 exchanged_at = now;
-                self.exchange_status(pattern, now);
+                self.exchange_status(pattern, phase, now);
+                phase = (phase + 1) % self.fleet.phases;
+            }
+            if now >= fault_at + FAULT_INTERVAL_MS {
+                fault_at = now;
                 self.apply_faults(pattern, now);
             }
-            for index in 0..RUNNERS {
+            for index in 0..self.fleet.runners {
                 if self.runners[index].pass_end().is_some_and(|at| at <= now) {
                     let events = self.runners[index].end_pass(now);
                     self.on_events(now, events);
@@ -312,8 +357,10 @@
         }
     }
 
-    /// Gives each entry the states of the runners that are up and the calls of other entries.
-    fn exchange_status(&mut self, pattern: Pattern, now: f64) {
+    /// Gives each entry the states of the runners of one phase that are up, and the calls
+    /// of the entries of that phase.
+    fn exchange_status(&mut self, pattern: Pattern, phase: usize, now: f64) {
+        let phases = self.fleet.phases;
         let measured_at = millis(now);
         let has_reloads = pattern == Pattern::Reload && now >= load::NAMED_MS;
         for (index, runner) in self.runners.iter_mut().enumerate() {
@@ -333,7 +380,7 @@
                     .filter(|at| *at > measured_at),
             };
             for placer in &mut self.entries {
-                if !runner.down {
+                if !runner.down && index % phases == phase {
                     placer.on_status(&upstream_id(index), status.clone());
                 }
             }
@@ -341,7 +388,7 @@
         let loads: Vec<_> = self.entries.iter().map(Placer::loads).collect();
         for (index, placer) in self.entries.iter_mut().enumerate() {
             for (other, load) in loads.iter().enumerate() {
-                if other != index {
+                if other != index && other % phases == phase {
                     placer.on_loads(measured_at, &other.to_string(), load);
                 }
             }
@@ -353,7 +400,7 @@
         let mut lost = Vec::new();
         for (index, runner) in self.runners.iter_mut().enumerate() {
             // Other VMs on the same host slow a runner now and then, as users report.
-            let changes_pace = self.rng.f64() < EXCHANGE_MS / 600.0;
+            let changes_pace = self.rng.f64() < FAULT_INTERVAL_MS / 600.0;
             if changes_pace {
                 runner.pace = if self.rng.f64() < 0.15 { 2.5 } else { 1.0 };
             }
@@ -368,7 +415,10 @@
                 Pattern::Slow if index % 4 == 0 => runner.pace = 8.0,
                 Pattern::Reload => {
                     let order_at = load::load_order_at(index);
-                    if now >= order_at && now < order_at + EXCHANGE_MS && runner.loading.is_none() {
+                    if now >= order_at
+                        && now < order_at + FAULT_INTERVAL_MS
+                        && runner.loading.is_none()
+                    {
                         runner.loading = Some(now);
                     }
                 }
@@ -428,14 +478,14 @@
                 _ => None,
             },
             Policy::RandomTwo => {
-                let a = self.rng.usize(0..RUNNERS);
-                let b = self.rng.usize(0..RUNNERS);
+                let a = self.rng.usize(0..self.fleet.runners);
+                let b = self.rng.usize(0..self.fleet.runners);
                 let open = &self.open_calls[entry];
                 Some(if open[a] <= open[b] { a } else { b })
             }
             Policy::LeastRequests => {
-                let start = self.rng.usize(0..RUNNERS);
-                let rotated = (0..RUNNERS).map(|i| (start + i) % RUNNERS);
+                let start = self.rng.usize(0..self.fleet.runners);
+                let rotated = (0..self.fleet.runners).map(|i| (start + i) % self.fleet.runners);
                 rotated.min_by_key(|i| self.open_calls[entry][*i])
             }
         };
@@ -466,7 +516,7 @@
             return;
         }
         let retry_at = now + RETRY_MS * (1.0 + self.rng.f64());
-        request.entry = self.rng.usize(0..ENTRIES);
+        request.entry = self.rng.usize(0..self.fleet.entries);
         self.to_send.insert((micros(retry_at), index), ());
     }
 
--- a/src/cmd/bench/place.rs
+++ b/src/cmd/bench/place.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 
 use crate::bench::place;
+use crate::bench::place::Fleet;
 use crate::bench::place::POLICIES;
 use crate::bench::place::load::Pattern;
 
@@ -23,6 +24,19 @@
     /// seed of the load
     #[argh(option, default = "1")]
     seed: u64,
+    /// entries that share the load, 1 to 1,000
+    #[argh(option, default = "Fleet::default().entries")]
+    entries: usize,
+    /// runners in the pool, 1 to 1,000
+    #[argh(option, default = "Fleet::default().runners")]
+    runners: usize,
+    /// interval at which entries learn of each other's calls, in milliseconds, 1 to
+    /// 1,000
+    #[argh(option, default = "Fleet::default().exchange_ms")]
+    exchange: f64,
+    /// groups of entries and runners that report in turn within an interval, 1 to 100
+    #[argh(option, default = "Fleet::default().phases")]
+    phases: usize,
     /// output format: json
     #[argh(option, default = "String::from(\"json\")")]
     format: String,
@@ -31,6 +45,21 @@
 /// Runs the experiment.
 pub fn run(args: &Args) -> eyre::Result<ExitCode> {
     eyre::ensure!(args.format == "json", "format must be json");
+    let counts = [("entries", args.entries), ("runners", args.runners)];
+    for (name, count) in counts {
+        eyre::ensure!((1..=1_000).contains(&count), "{name} must be 1 to 1000");
+    }
+    eyre::ensure!(
+        (1.0..=1_000.0).contains(&args.exchange),
+        "exchange must be 1 to 1000"
+    );
+    eyre::ensure!((1..=100).contains(&args.phases), "phases must be 1 to 100");
+    let fleet = Fleet {
+        entries: args.entries,
+        runners: args.runners,
+        exchange_ms: args.exchange,
+        phases: args.phases,
+    };
     let patterns = match &args.load {
         None => Pattern::ALL.to_vec(),
         Some(name) => {
@@ -41,7 +70,7 @@
     };
     for (name, pattern) in patterns {
         for (label, policy) in POLICIES {
-            let summary = place::run(pattern, policy, args.seed);
+            let summary = place::run_fleet(fleet.clone(), pattern, policy, args.seed);
             println!("{}", summary.json(label, name, args.seed));
         }
     }
