placement: Spread requests over runners whose load is known late

Cause: an entry takes the calls of the other entries as last reported. With twenty entries a report is up to 100 ms old, in which they send some thirty requests; all go to the runners that were free in the same reports. What is full by then looks free, and what has become free looks full.

Between two reports the entry now assumes that calls end at the usual rate, and that as many start, each at the runner that is best at that point. It draws among the runners that these fill, by the number of requests that each gets.

--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -96,6 +96,13 @@
         self.read_ms(size.prompt) + size.output * self.step_time(batch) / batch
     }
 
+    /// Returns the time from the start of a usual request to its last event on a runner
+    /// with a full batch, in milliseconds.
+    pub fn service_time(&self) -> f64 {
+        let batch = f64::from(self.slots.max(1));
+        self.read_ms(self.usual.prompt) + self.usual.output * self.step_time(batch)
+    }
+
     /// Returns the mean interval at which a full runner completes a request, in
     /// milliseconds; at least 1.
     pub fn completion_interval(&self) -> f64 {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -19,6 +19,7 @@
 pub mod router;
 pub mod silence;
 pub mod size_fairness;
+pub mod spread;
 pub mod subset;
 pub mod upstream;
 
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -21,6 +21,8 @@
 use crate::route::notice::Notices;
 use crate::route::notice::StartId;
 use crate::route::recovery::Recovery;
+use crate::route::spread;
+use crate::route::spread::Candidate;
 use crate::table::routing::Routing;
 use crate::util;
 
@@ -52,14 +54,6 @@
 /// Weight of the newest observation in the moving average of the slowness.
 const SLOWNESS_WEIGHT: f64 = 0.3;
 
-/// Predictions within this ratio of the best count as equal. The upstream is
-/// drawn at random among them, so that entries with the same view of the load
-/// do not all choose the same upstream.
-const TIE_RATIO: f64 = 1.06;
-
-/// Predictions within this many milliseconds of the best also count as equal.
-const TIE_MS: f64 = 6.0;
-
 /// Penalty for an upstream in another zone, in milliseconds. Traffic between
 /// zones is expensive, and links between regions have little bandwidth.
 const REMOTE_PENALTY_MS: f64 = 35.0;
@@ -507,7 +501,7 @@
         profile: &RequestProfile,
         without: &[Key<Target>],
     ) -> Choice {
-        let mut found: Vec<(f64, Key<Target>)> = Vec::new();
+        let mut found: Vec<Candidate<Target>> = Vec::new();
         let mut cooling: Option<(Millis, f64, Key<Target>)> = None;
         let mut backing_off: Option<(Millis, f64)> = None;
         let work_ms = self
@@ -524,19 +518,24 @@
                 // An upstream that was tried counts too, since the caller may
                 // come back to it.
                 if backing_off.is_none_or(|(least, _)| left < least) {
-                    backing_off = Some((left, target.predict_first(now, profile, work_ms)));
+                    backing_off = Some((left, target.predict_first(now, profile, work_ms, 0.0)));
                 }
                 continue;
             }
             if without.contains(&key) {
                 continue;
             }
-            let first_ms = target.predict_first(now, profile, work_ms);
+            let first_ms = target.predict_first(now, profile, work_ms, 0.0);
             if !self.begins_before_expiry(now, profile, target, first_ms) {
                 continue;
             }
             if target.recovery.admits(now, target.own_load.calls) {
-                found.push((first_ms, key));
+                found.push(Candidate {
+                    target: key,
+                    first_ms,
+                    unseen: 0.0,
+                    added: 0.0,
+                });
             } else if cooling.is_none_or(|(until, _, _)| target.recovery.cooldown_end() < until) {
                 cooling = Some((target.recovery.cooldown_end(), first_ms, key));
             }
@@ -553,33 +552,62 @@
                 (None, None) => Choice::NoUpstream,
             };
         }
-        let least = |found: &[(f64, Key<Target>)]| {
-            let firsts = found.iter().map(|(first_ms, _)| *first_ms);
-            firsts.fold(f64::INFINITY, f64::min)
-        };
-        let mut best = least(&found);
+        self.add_unseen(now, profile, work_ms, &mut found);
+        let best = least_predicted(&found);
         if !is_timely(profile, best) {
             // A late answer may only use a slot that would stay empty. Free slots
             // of slow upstreams do not show that the pool has spare capacity.
-            found.retain(|(first_ms, _)| *first_ms <= COMPARABLE_RATIO * best);
+            found.retain(|c| c.first_ms <= COMPARABLE_RATIO * best);
             let has_capacity = self.free_share(now, &found) >= MIN_POOL_FREE_SHARE;
-            found.retain(|(first_ms, key)| {
-                let target = self.targets.get(*key);
+            found.retain(|c| {
+                let target = self.targets.get(c.target);
                 let has_spare_slots = target.is_some_and(|t| t.has_spare_slots(now));
-                has_capacity && has_spare_slots && *first_ms <= profile.time_left
+                has_capacity && has_spare_slots && c.first_ms <= profile.time_left
             });
-            if found.is_empty() {
+        }
+        match spread::draw(&found, &mut self.rng).and_then(|index| found.get(index)) {
+            Some(chosen) => Choice::Send {
+                target: chosen.target,
+                first_ms: chosen.first_ms,
+            },
+            None => {
                 let over = best - profile.slack_ms.unwrap_or(0.0);
-                return Choice::Overloaded {
+                Choice::Overloaded {
                     first_ms: best,
                     retry_after: Millis(over.clamp(50.0, 5_000.0) as u64),
-                };
+                }
             }
-            best = least(&found);
         }
-        found.retain(|(first_ms, _)| *first_ms <= (best * TIE_RATIO).max(best + TIE_MS));
-        let (first_ms, target) = found[self.rng.usize(0..found.len())];
-        Choice::Send { target, first_ms }
+    }
+
+    /// Adds the calls that other entries of the zone are expected to have started
+    /// and ended at the candidates since they reported.
+    ///
+    /// As many calls are assumed to start as end, and each call to last as long as a
+    /// usual one.
+    fn add_unseen(
+        &self,
+        now: Millis,
+        profile: &RequestProfile,
+        work_ms: f64,
+        found: &mut [Candidate<Target>],
+    ) {
+        let predict = |c: &Candidate<Target>| {
+            self.targets.get(c.target).map_or(f64::INFINITY, |t| {
+                t.predict_first(now, profile, work_ms, c.unseen)
+            })
+        };
+        let mut count = 0.0;
+        for candidate in found.iter_mut() {
+            let Some(target) = self.targets.get(candidate.target) else {
+                continue;
+            };
+            let ended = target.unseen_ends(now, work_ms);
+            candidate.unseen = -ended;
+            candidate.first_ms = predict(candidate);
+            count += ended;
+        }
+        spread::add_unseen(found, count, predict);
     }
 
     /// Returns true when a request will begin at an upstream before the version
@@ -605,8 +633,8 @@
     }
 
     /// Returns the share of the slots of these upstreams that are free, from 0 to 1.
-    fn free_share(&self, now: Millis, found: &[(f64, Key<Target>)]) -> f64 {
-        let targets = found.iter().filter_map(|(_, key)| self.targets.get(*key));
+    fn free_share(&self, now: Millis, found: &[Candidate<Target>]) -> f64 {
+        let targets = found.iter().filter_map(|c| self.targets.get(c.target));
         let (free, all) = targets.fold((0.0, 0.0), |(free, all), t| {
             let free_slots = t.free_slots(now).max(0.0);
             (free + free_slots, all + f64::from(t.registration.slots))
@@ -693,6 +721,12 @@
     }
 }
 
+/// Returns the shortest predicted time of the candidates, in milliseconds.
+fn least_predicted(found: &[Candidate<Target>]) -> f64 {
+    let firsts = found.iter().map(|c| c.first_ms);
+    firsts.fold(f64::INFINITY, f64::min)
+}
+
 /// Returns true when the best prediction is good enough to use a slot.
 ///
 /// A request that can be on time may wait for a slot. The wait allowed is shorter
@@ -857,6 +891,24 @@
         })
     }
 
+    /// Returns the number of calls of other entries that are expected to have ended
+    /// since they were reported. `work_ms` is the average service time, used for plain
+    /// services.
+    fn unseen_ends(&self, now: Millis, work_ms: f64) -> f64 {
+        let engine_ms = self.engine.as_ref().map(|e| e.service_time());
+        let service_ms = engine_ms.unwrap_or(work_ms).max(1.0);
+        let fresh = self
+            .peer_loads
+            .values()
+            .map(|(at, load)| (now.since(*at), load))
+            .filter(|(age, _)| *age < LOAD_EXPIRY);
+        let ends = fresh.map(|(age, load)| {
+            let share = (age.0 as f64 / service_ms).min(1.0);
+            f64::from(load.calls) * share
+        });
+        ends.sum()
+    }
+
     /// Returns the number of free slots; negative when requests wait.
     fn free_slots(&self, now: Millis) -> f64 {
         f64::from(self.registration.slots) - f64::from(self.load(now).calls)
@@ -916,17 +968,26 @@
 
     /// Predicts the time to the first event of one more request, in milliseconds.
     ///
-    /// `work_ms` is the average service time, used for plain services.
-    fn predict_first(&self, now: Millis, profile: &RequestProfile, work_ms: f64) -> f64 {
+    /// `work_ms` is the average service time, used for plain services; `unseen` is the
+    /// number of requests of the usual size that it is expected to have got from other
+    /// entries since they reported.
+    fn predict_first(
+        &self,
+        now: Millis,
+        profile: &RequestProfile,
+        work_ms: f64,
+        unseen: f64,
+    ) -> f64 {
         let zone_ms = 2.0 * self.delay_ms + if self.remote { REMOTE_PENALTY_MS } else { 0.0 };
         let load = self.load(now);
         let slots = f64::from(self.registration.slots.max(1));
-        let calls = f64::from(load.calls);
+        let calls = f64::from(load.calls) + unseen;
         let Some(engine) = &self.engine else {
             let turns = ((calls + 1.0) / slots).max(1.0);
             return work_ms * turns * self.pace(now) + zone_ms;
         };
         let prompt_ms = engine.read_ms(profile.size.prompt);
+        let unread_ms = load.unread_ms + unseen * engine.read_ms(engine.usual.prompt);
         let batch = (calls + 1.0).min(slots);
         let pass_ms = engine.pass_time(batch);
         // A request arrives in the middle of a pass on average, and waits for the
@@ -935,8 +996,8 @@
         if calls + 1.0 > slots {
             first_ms += (calls + 1.0 - slots) * engine.completion_interval();
         } else {
-            first_ms += load.unread_ms;
-            let pause = (pass_ms + load.unread_ms + prompt_ms) * self.pace(now);
+            first_ms += unread_ms;
+            let pause = (pass_ms + unread_ms + prompt_ms) * self.pace(now);
             if profile
                 .max_pause
                 .is_some_and(|most| pause > PAUSE_SHARE * most)
