gossip: Bound what a process tells in a large fleet

Which process gets what is now decided in member::schedule, without I/O. Processes of other zones share 40 datagrams a second; an agent reports to four entries of each other zone, chosen by rendezvous hashing; a datagram states the time until the next, and a silent process is forgotten after 3.3 of these, at least 3 s as before. A restarted process is told at once. In fleets of 100 processes or more, datagrams are read together every 20 ms. What is urgent still goes to all at once. Entries place at a runner of another zone whose agent does not report to them only when they know no other, as they cannot know its load.

Not mended: entries fetch each change from the readers of their zone.

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -2,7 +2,9 @@
 //! state of each.
 //!
 //! Entries of the zone get everything, as soon as it changes: they place requests
-//! by it. Others get a short datagram less often.
+//! by it. A few entries of each other zone get the state of a runner. All others get
+//! a short datagram less often, so that what a process sends is bounded however many
+//! there are. What is urgent goes to all at once.
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -13,7 +15,7 @@
 use prost::Message;
 use smol::Async;
 use smol::Task;
-use smol::channel::Sender;
+use smol::channel;
 
 use crate::direct::node::Node;
 use crate::direct::replication;
@@ -22,6 +24,13 @@
 use crate::direct::wire::PeerDoc;
 use crate::member::peers::Peer;
 use crate::member::peers::Role;
+use crate::member::schedule;
+use crate::member::schedule::Changes;
+use crate::member::schedule::Kind;
+use crate::member::schedule::Schedule;
+use crate::member::schedule::Sender;
+use crate::member::schedule::Target;
+use crate::member::schedule::ZONE_INTERVAL;
 use crate::net::rt;
 use crate::prelude::*;
 use crate::util::lock;
@@ -29,26 +38,9 @@
 /// Interval at which the own state is checked for changes to send.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Most datagrams a second with changed figures to all entries of the zone
-/// together: sending and receiving them takes a few percent of a third of a
-/// core.
-const CHANGES_RATE: u64 = 200;
-
-/// Longest interval between datagrams to an entry of the zone, which places
-/// requests by them.
-const NEAR_INTERVAL: Millis = Millis(250);
-
-/// Longest interval between datagrams from an agent to an entry of another zone:
-/// traffic between zones is expensive, and few requests cross them.
-const REMOTE_INTERVAL: Millis = Millis(500);
-
 /// Interval between datagrams that list other known processes.
 const LIST_INTERVAL: Millis = Millis(1_000);
 
-/// Longest interval between datagrams to processes that only need to know that
-/// this one runs; they forget it after three seconds of silence.
-const FAR_INTERVAL: Millis = Millis(900);
-
 /// Most processes listed in one datagram.
 const MAX_LISTED: usize = 6;
 
@@ -73,25 +65,18 @@
     pub receive: Receive,
 }
 
-/// Times of the last datagrams.
-#[derive(Default)]
-struct Sent {
-    /// When each process was last sent a datagram.
-    at: IndexMap<IpAddr, Millis>,
-}
-
 /// Sends and receives the datagrams of one process.
 pub struct Gossip {
     node: Node,
     socket: Async<UdpSocket>,
     hooks: Hooks,
     /// Gets a message when a peer's replica is newer than the own.
-    behind: Sender<()>,
-    sent: Mutex<Sent>,
+    behind: channel::Sender<()>,
+    schedule: Mutex<Schedule>,
 }
 
 impl Gossip {
-    fn bind(node: Node, hooks: Hooks, behind: Sender<()>) -> Result<Gossip> {
+    fn bind(node: Node, hooks: Hooks, behind: channel::Sender<()>) -> Result<Gossip> {
         let addr = node.internal_addr(node.settings().ip);
         let socket = Async::<UdpSocket>::bind(addr)
             .map_err(|e| Error::new(Code::ListenFailed, format!("{addr}: {e}")))?;
@@ -100,13 +85,13 @@
             socket,
             hooks,
             behind,
-            sent: Mutex::default(),
+            schedule: Mutex::default(),
         })
     }
 
     /// Binds the internal port and starts the tasks that send and receive. A
     /// message goes to `behind` when a peer's replica is newer than the own.
-    pub fn start(node: Node, hooks: Hooks, behind: Sender<()>) -> Result<Vec<Task<()>>> {
+    pub fn start(node: Node, hooks: Hooks, behind: channel::Sender<()>) -> Result<Vec<Task<()>>> {
         let gossip = Arc::new(Gossip::bind(node, hooks, behind)?);
         let (sender, receiver) = (gossip.clone(), gossip);
         Ok(vec![
@@ -116,18 +101,28 @@
     }
 
     /// Receives until the task is dropped.
+    ///
+    /// All datagrams that have arrived are read at once, and those of the next few
+    /// milliseconds are left to arrive together: waking up costs more than a datagram.
     async fn receive(&self) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+            let mut received = self.socket.recv_from(&mut buffer).await;
+            if received.is_err() {
                 // An ICMP error from a peer whose port is closed; the socket still works.
                 smol::Timer::after(Duration::from_millis(5)).await;
-                continue;
-            };
-            let Ok(datagram) = Datagram::decode(&buffer[..length]) else {
-                continue;
-            };
-            self.receive_one(from.ip(), &datagram).await;
+            }
+            while let Ok((length, from)) = received {
+                if let Ok(datagram) = Datagram::decode(&buffer[..length]) {
+                    self.receive_one(from.ip(), &datagram).await;
+                }
+                // The socket does not block; an error is an empty socket as a rule.
+                received = self.socket.get_ref().recv_from(&mut buffer);
+            }
+            let pause = schedule::receive_pause(self.node.peers().len());
+            if let Some(pause) = pause {
+                smol::Timer::after(pause.duration()).await;
+            }
         }
     }
 
@@ -147,12 +142,19 @@
             revision: datagram.revision,
             is_reader: datagram.reads,
             last_heard: now,
+            interval: Millis(u64::from(datagram.interval)),
         };
         {
             let mut peers = self.node.peers();
+            let is_new_start = peers.started(&peer.name) != Some(peer.started);
             if !peers.update(peer) {
                 return;
             }
+            if is_new_start {
+                lock(&self.schedule).forget(from);
+            }
+            let interval = schedule::far_interval(&peers, &own.zone);
+            let interval = interval.max(Millis(u64::from(datagram.interval)));
             for listed in &datagram.peers {
                 let Ok(ip) = listed.ip.parse() else {
                     continue;
@@ -167,6 +169,7 @@
                         revision: 0,
                         is_reader: false,
                         last_heard: now,
+                        interval,
                     });
                 }
             }
@@ -221,19 +224,26 @@
                 revision: last.revision != current.revision && current.reads,
                 urgent: has_urgent_change(&last, &current),
             };
-            let targets = self.targets(now, changes);
+            let (targets, far_interval) = self.targets(now, changes);
             let near = current.encode_to_vec();
-            let far = if targets.iter().any(|t| t.kind == Kind::Far) {
-                self.datagram(now, count, false, false).encode_to_vec()
-            } else {
-                Vec::new()
-            };
+            let (mut zone, mut far, mut brief) = (Vec::new(), Vec::new(), Vec::new());
+            if targets.iter().any(|t| t.kind != Kind::Near) {
+                let mut datagram = self.datagram(now, count, false, false);
+                datagram.interval = ZONE_INTERVAL.0 as u32;
+                zone = datagram.encode_to_vec();
+                datagram.interval = far_interval.0 as u32;
+                far = datagram.encode_to_vec();
+                datagram.status = None;
+                brief = datagram.encode_to_vec();
+            }
             let has_near = targets.iter().any(|t| t.kind == Kind::Near);
             for target in targets {
                 let addr = SocketAddr::new(target.ip, self.node.settings().ports.0);
                 let sent = match target.kind {
                     Kind::Near => self.socket.send_to(&near, addr).await,
+                    Kind::Zone => self.socket.send_to(&zone, addr).await,
                     Kind::Far => self.socket.send_to(&far, addr).await,
+                    Kind::Brief => self.socket.send_to(&brief, addr).await,
                     Kind::Unknown => {
                         let hello = self.datagram(now, MAX_LISTED, true, false);
                         self.socket.send_to(&hello.encode_to_vec(), addr).await
@@ -249,46 +259,21 @@
         }
     }
 
-    /// Returns the processes that a datagram is due to now, and records that it
-    /// was sent. Seeds that are not known yet are asked for a reply.
-    fn targets(&self, now: Millis, changes: Changes) -> Vec<Target> {
+    /// Returns the processes that a datagram is due to now; also returns the longest
+    /// interval to processes of other zones. Seeds that are not known yet are asked
+    /// for a reply.
+    fn targets(&self, now: Millis, changes: Changes) -> (Vec<Target>, Millis) {
         let own = self.node.settings();
-        let is_entry = self.node.role() == Role::Entry;
+        let sender = Sender {
+            name: &own.name,
+            zone: &own.zone,
+            ip: own.ip,
+            role: self.node.role(),
+        };
+        let seeds: Vec<IpAddr> = own.seeds.iter().map(|seed| seed.ip()).collect();
         let peers = self.node.peers();
-        let mut sent = lock(&self.sent);
-        let changes_interval = Millis(1_000 * peers.entries_in(&own.zone) as u64 / CHANGES_RATE);
-        let mut targets = Vec::new();
-        let mut known: Vec<IpAddr> = vec![own.ip];
-        for peer in peers.iter() {
-            known.push(peer.ip);
-            let in_zone = peer.zone == own.zone;
-            let near = in_zone && peer.role == Role::Entry;
-            let interval = match (near, is_entry, peer.role) {
-                (true, _, _) if changes.figures => changes_interval,
-                (true, _, _) => NEAR_INTERVAL,
-                (false, false, Role::Entry) => REMOTE_INTERVAL,
-                _ => FAR_INTERVAL,
-            };
-            let at_once = changes.urgent || changes.revision && in_zone;
-            let age = sent.at.get(&peer.ip).map(|at| now.since(*at));
-            if at_once || age.is_none_or(|age| age >= interval) {
-                let kind = if near { Kind::Near } else { Kind::Far };
-                targets.push(Target { ip: peer.ip, kind });
-            }
-        }
-        for seed in &own.seeds {
-            let age = sent.at.get(&seed.ip()).map(|at| now.since(*at));
-            if !known.contains(&seed.ip()) && age.is_none_or(|age| age >= NEAR_INTERVAL) {
-                targets.push(Target {
-                    ip: seed.ip(),
-                    kind: Kind::Unknown,
-                });
-            }
-        }
-        for target in &targets {
-            sent.at.insert(target.ip, now);
-        }
-        targets
+        let targets = lock(&self.schedule).due(now, &sender, &peers, &seeds, changes);
+        (targets, schedule::far_interval(&peers, &own.zone))
     }
 
     /// Builds a datagram. It lists up to `listed` known processes, starting at a random
@@ -352,37 +337,6 @@
     if entry { Role::Entry } else { Role::Agent }
 }
 
-/// What has changed since earlier datagrams.
-#[derive(Clone, Copy, Debug)]
-struct Changes {
-    /// Loads, pace or number of calls: for the entries of the zone.
-    figures: bool,
-    /// The revision at a process that reads the store: for all processes of the
-    /// zone, as other zones have readers of their own.
-    revision: bool,
-    /// What a runner holds, whether it loads, or the counts of suspects: for all
-    /// processes, at once.
-    urgent: bool,
-}
-
-/// Which datagram a receiver gets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    /// The whole state: an entry of the zone.
-    Near,
-    /// All but loads and refusals: any other known process.
-    Far,
-    /// One that asks for a reply: a seed from which nothing has been heard.
-    Unknown,
-}
-
-/// A process that a datagram is due to.
-#[derive(Clone, Copy, Debug)]
-struct Target {
-    ip: IpAddr,
-    kind: Kind,
-}
-
 /// Returns true when the loads, pace or calls have changed enough to be sent to
 /// the entries of the zone.
 fn has_new_figures(last: &Datagram, current: &Datagram) -> bool {
--- a/src/direct/updater.rs
+++ b/src/direct/updater.rs
@@ -511,7 +511,8 @@
     /// Returns the agents that pull from each other, and which of them can serve all
     /// of `version`.
     fn group(&self, now: Millis, version: u64) -> Group {
-        /// Age at which what another agent said no longer counts.
+        /// Time for which the status of an agent still counts when its newer datagrams
+        /// have none.
         const EXPIRY: Millis = Millis(2_500);
         let settings = self.node.settings();
         let origin = self.origin().map_or_else(String::new, |(_, zone)| zone);
@@ -521,7 +522,8 @@
         // others must not wait for pieces from it.
         let others = peers.with_role(Role::Agent).filter_map(|peer| {
             let (complete, at) = peer_versions.get(&peer.name)?;
-            (now.since(*at) < EXPIRY).then(|| Holder {
+            let is_newest = *at >= peer.last_heard;
+            (is_newest || now.since(*at) < EXPIRY).then(|| Holder {
                 name: peer.name.clone(),
                 zone: peer.zone.clone(),
                 complete: *complete == version,
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -64,6 +64,10 @@
     /// Versions of weights that the operator named lately.
     #[prost(message, repeated, tag = "16")]
     pub named: Vec<NamedDoc>,
+    /// Longest time until the next datagram to the receiver, in milliseconds; 0 when
+    /// the sender does not say.
+    #[prost(uint32, tag = "17")]
+    pub interval: u32,
 }
 
 /// A version of weights that the operator named.
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -6,6 +6,7 @@
 pub mod live;
 pub mod peers;
 pub mod registry;
+pub mod schedule;
 pub mod state;
 pub mod store_watch;
 
--- a/src/member/peers.rs
+++ b/src/member/peers.rs
@@ -2,10 +2,20 @@
 
 use std::net::IpAddr;
 
+use indexmap::IndexSet;
+
 use crate::prelude::*;
+use crate::util;
+
+/// Shortest time without a datagram after which a process is removed.
+const MIN_EXPIRY: Millis = Millis(3_000);
 
-/// Time without a datagram after which a process is removed.
-const EXPIRY: Millis = Millis(3_000);
+/// Intervals between datagrams after which a silent process is removed: three of its
+/// datagrams in a row were lost.
+const SILENT_INTERVALS: f64 = 10.0 / 3.0;
+
+/// Entries of each other zone to which an agent reports the state of its runner.
+const REMOTE_REPORTS: usize = 4;
 
 /// Maximum number of processes kept; further ones are ignored until others expire.
 const MAX_PEERS: usize = 4_096;
@@ -40,9 +50,19 @@
     pub is_reader: bool,
     /// When it was last heard of, by the clock of this process.
     pub last_heard: Millis,
+    /// Longest time between two of its datagrams, as it says; 0 when it does not.
+    pub interval: Millis,
 }
 }
 
+impl Peer {
+    /// Returns the time without a datagram after which it is removed.
+    fn expiry(&self) -> Millis {
+        let expiry = Millis((SILENT_INTERVALS * self.interval.0 as f64) as u64);
+        expiry.max(MIN_EXPIRY)
+    }
+}
+
 /// The known processes by name.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -56,7 +76,7 @@
         if let Some(held) = self.table.get(&peer.name) {
             // The wall clock of a VM may step back between two starts, so an
             // earlier start time is accepted once the known start is silent.
-            let silent = peer.last_heard.since(held.last_heard) >= EXPIRY;
+            let silent = peer.last_heard.since(held.last_heard) >= held.expiry();
             if peer.started < held.started && !silent {
                 return false;
             }
@@ -67,6 +87,12 @@
         true
     }
 
+    /// Returns when the process with this name started, as it said; none when it is not
+    /// known.
+    pub fn started(&self, name: &str) -> Option<u64> {
+        self.table.get(name).map(|peer| peer.started)
+    }
+
     /// Adds a process that another one named, unless it is known already: what
     /// a process says of itself takes precedence.
     pub fn add_named(&mut self, peer: Peer) {
@@ -75,10 +101,11 @@
         }
     }
 
-    /// Removes the processes that have been silent for 3 s.
+    /// Removes the processes that have been silent for 3 s, or for three of their
+    /// intervals if that is longer.
     pub fn tick(&mut self, now: Millis) {
         self.table
-            .retain(|_, peer| now.since(peer.last_heard) < EXPIRY);
+            .retain(|_, peer| now.since(peer.last_heard) < peer.expiry());
     }
 
     /// Returns the number of known entry processes in `zone`.
@@ -87,6 +114,26 @@
         near.filter(|peer| peer.zone == zone).count()
     }
 
+    /// Returns the number of known processes outside `zone`.
+    pub fn outside(&self, zone: &str) -> usize {
+        self.table.values().filter(|peer| peer.zone != zone).count()
+    }
+
+    /// Returns the addresses of the entries outside `zone` to which `agent` reports the
+    /// state of its runner: up to four of each zone, chosen by rendezvous hashing.
+    pub fn remote_readers(&self, agent: &str, zone: &str) -> IndexSet<IpAddr> {
+        let mut zones: IndexMap<&str, Vec<(u64, IpAddr)>> = IndexMap::new();
+        for peer in self.with_role(Role::Entry).filter(|p| p.zone != zone) {
+            let rank = util::stable_hash([agent, peer.name.as_str()]);
+            zones.entry(&peer.zone).or_default().push((rank, peer.ip));
+        }
+        let first = zones.into_values().flat_map(|mut ranked| {
+            ranked.sort_unstable();
+            ranked.into_iter().take(REMOTE_REPORTS).map(|(_, ip)| ip)
+        });
+        first.collect()
+    }
+
     /// Iterates over all known processes.
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
         self.table.values()
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -493,8 +493,9 @@
 
     /// Chooses an upstream that is not in `without`.
     ///
-    /// Upstreams that cool down after failures are used only when no other is
-    /// left. Upstreams that asked for no requests are never used.
+    /// Runners of other zones that do not report to this entry are used only when no
+    /// other is left, and after them upstreams that cool down after failures. Upstreams
+    /// that asked for no requests are never used.
     pub fn choose(
         &mut self,
         now: Millis,
@@ -502,6 +503,7 @@
         without: &[Key<Target>],
     ) -> Choice {
         let mut found: Vec<Candidate<Target>> = Vec::new();
+        let mut unreported: Vec<Candidate<Target>> = Vec::new();
         let mut cooling: Option<(Millis, f64, Key<Target>)> = None;
         let mut backing_off: Option<(Millis, f64)> = None;
         let work_ms = self
@@ -530,7 +532,12 @@
                 continue;
             }
             if target.recovery.admits(now, target.own_load.calls) {
-                found.push(Candidate {
+                let list = if target.is_unreported(now) {
+                    &mut unreported
+                } else {
+                    &mut found
+                };
+                list.push(Candidate {
                     target: key,
                     first_ms,
                     unseen: 0.0,
@@ -845,6 +852,12 @@
         !is_newer && now.since(at) < MISDIRECTED_EXPIRY
     }
 
+    /// Returns true for a runner of another zone whose agent does not report to this
+    /// entry: how many calls it has is not known.
+    fn is_unreported(&self, now: Millis) -> bool {
+        self.remote && self.engine.is_some() && self.status(now).is_none()
+    }
+
     /// Returns the latest status report, unless it is too old.
     fn status(&self, now: Millis) -> Option<&RunnerStatus> {
         let status = self.status.as_ref()?;
--- a/tests/removal_bound.rs
+++ b/tests/removal_bound.rs
@@ -582,6 +582,7 @@
             revision,
             is_reader,
             last_heard: now,
+            interval: Millis(900),
         };
         for to in (0..ENTRIES).filter(|to| *to != own) {
             let is_near = zone(to) == zone(own);
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -23,6 +23,7 @@
         revision: 1,
         is_reader,
         last_heard: Millis(last_heard),
+        interval: Millis(250),
     }
 }
 
