placement: Do no work for upstreams that have not changed

In agents a seventh was the list of all other agents, made 50 times a second also when nothing is to be pulled.

The pools share their engine's figures, an unchanged upstream is left as it is, and agents ask first whether a pull can start. Seeds are compared with the known processes four times a second instead of 50.

Tests: upstreams_share_the_figures_of_their_engine, nothing_to_pull_is_known_at_once.

--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -252,7 +252,7 @@
             name: "p".to_string(),
             health_path: String::new(),
             max_connections: u32::MAX,
-            engine: Some(engine.clone()),
+            engine: Some(Arc::new(engine.clone())),
             origin: None,
         };
         let routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -156,7 +156,7 @@
             format!("route {} has no pool", route.name),
         )
     })?;
-    let engine = routing.pool(pool).and_then(|p| p.engine.as_ref());
+    let engine = routing.pool(pool).and_then(|p| p.engine.as_deref());
     let stated = call.size.unwrap_or_default();
     let size = Size {
         output: output(engine, stated.output, call.estimate),
--- a/src/direct/updater.rs
+++ b/src/direct/updater.rs
@@ -548,6 +548,7 @@
             newest
                 .into_iter()
                 .chain(previous)
+                .filter(|p| p.can_pull())
                 .map(|p| p.digests().version)
                 .collect()
         };
--- a/src/member/schedule.rs
+++ b/src/member/schedule.rs
@@ -112,6 +112,8 @@
     readers: IndexSet<IpAddr>,
     /// When these were chosen.
     readers_at: Millis,
+    /// When the seeds were last compared with the known processes.
+    seeds_at: Millis,
 }
 
 impl Schedule {
@@ -138,9 +140,7 @@
         let changes_interval = Millis(1_000 * peers.entries_in(own.zone) as u64 / CHANGES_RATE);
         let far_interval = far_interval(peers, own.zone);
         let mut targets = Vec::new();
-        let mut known: Vec<IpAddr> = vec![own.ip];
         for peer in peers.iter() {
-            known.push(peer.ip);
             let in_zone = peer.zone == own.zone;
             let (kind, interval) = match (in_zone, peer.role) {
                 (true, Role::Entry) if changes.figures => (Kind::Near, changes_interval),
@@ -158,13 +158,15 @@
                 targets.push(Target { ip: peer.ip, kind });
             }
         }
-        for ip in seeds {
-            if !known.contains(ip) && self.is_due(now, *ip, NEAR_INTERVAL) {
-                targets.push(Target {
-                    ip: *ip,
-                    kind: Kind::Unknown,
-                });
-            }
+        if now.since(self.seeds_at) >= NEAR_INTERVAL {
+            self.seeds_at = now;
+            let known: IndexSet<IpAddr> = peers.iter().map(|peer| peer.ip).collect();
+            let is_unknown = |ip: &&IpAddr| **ip != own.ip && !known.contains(*ip);
+            let unknown = seeds.iter().filter(is_unknown);
+            targets.extend(unknown.map(|ip| Target {
+                ip: *ip,
+                kind: Kind::Unknown,
+            }));
         }
         for target in &targets {
             self.sent.insert(target.ip, now);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -261,7 +261,7 @@
         name: doc.name,
         health_path: doc.health_path,
         max_connections: doc.max_conns.unwrap_or(u32::MAX),
-        engine: doc.engine.map(engine),
+        engine: doc.engine.map(engine).map(Arc::new),
         origin: doc.origin.map(|addr| Origin { addr, zone }),
     }
 }
--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -259,9 +259,19 @@
         }
     }
 
+    /// Returns true when a piece is missing that is not being pulled, and another pull
+    /// may run.
+    pub fn can_pull(&self) -> bool {
+        let missing = self.held.iter().filter(|piece| piece.is_none()).count();
+        self.pulls.len() < missing.min(MAX_PULLS)
+    }
+
     /// Starts the pulls that are possible now and returns them.
     pub fn start_pulls(&mut self, now: Millis, group: &Group) -> Vec<Pull> {
         self.paused.retain(|_, until| *until > now);
+        if !self.can_pull() {
+            return Vec::new();
+        }
         let mut started = Vec::new();
         let missing: Vec<u32> = (0..self.held.len() as u32)
             .filter(|i| self.held[*i as usize].is_none() && !self.pulls.contains_key(i))
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -305,11 +305,13 @@
         members: impl IntoIterator<Item = &'a Registration>,
         routing: &Routing,
     ) {
-        let mut left: indexmap::IndexSet<String> = self.by_id.keys().cloned().collect();
+        let mut listed = indexmap::IndexSet::new();
         for member in members {
-            left.swap_remove(&member.id);
+            listed.insert(member.id.as_str());
             self.set_member(member, routing);
         }
+        let left = self.by_id.keys().filter(|id| !listed.contains(id.as_str()));
+        let left: Vec<String> = left.cloned().collect();
         for id in left {
             let Some(key) = self.by_id.get(&id).copied() else {
                 continue;
@@ -336,13 +338,17 @@
     /// Adds an upstream, or updates the one with the same id.
     fn set_member(&mut self, member: &Registration, routing: &Routing) {
         let engine = routing.pool(&member.pool).and_then(|p| p.engine.clone());
-        let engine = engine.map(Arc::new);
-        let delay_ms = delay_ms(engine.as_deref(), &self.zone, &member.zone);
         if let Some(target) = self
             .by_id
             .get(&member.id)
             .and_then(|k| self.targets.get_mut(*k))
         {
+            if target.registration == *member
+                && target.leaving == member.draining
+                && has_same_engine(target.engine.as_ref(), engine.as_ref())
+            {
+                return;
+            }
             if target.registration != *member {
                 target.misdirected_at = None;
             }
@@ -358,8 +364,8 @@
                 target.status = None;
             }
             target.registration = member.clone();
+            target.delay_ms = delay_ms(engine.as_deref(), &self.zone, &member.zone);
             target.engine = engine;
-            target.delay_ms = delay_ms;
             target.leaving = member.draining;
             return;
         }
@@ -368,8 +374,8 @@
         let key = self.targets.insert(Target {
             registration: member.clone(),
             id_hash,
+            delay_ms: delay_ms(engine.as_deref(), &self.zone, &member.zone),
             engine,
-            delay_ms,
             remote: member.zone != self.zone,
             leaving: member.draining,
             notice: self.notices.get(StartId { id_hash, started }),
@@ -759,6 +765,15 @@
     best <= OBJECTIVE_SHARE * slack && best - profile.read_ms <= bound
 }
 
+/// Returns true when both pools have the engine of the same configuration, or none.
+fn has_same_engine(one: Option<&Arc<Engine>>, other: Option<&Arc<Engine>>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => Arc::ptr_eq(one, other),
+        (None, None) => true,
+        _ => false,
+    }
+}
+
 /// Returns the one-way network delay between two zones, in milliseconds.
 fn delay_ms(engine: Option<&Engine>, from: &str, to: &str) -> f64 {
     /// Delay between zones for which none is published.
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -102,7 +102,7 @@
     /// callers together.
     pub max_connections: u32,
     /// Speed and capacity of the model engine; `None` for a plain service.
-    pub engine: Option<Engine>,
+    pub engine: Option<Arc<Engine>>,
     /// Set when the pool is an origin of weights, not a pool for requests.
     pub origin: Option<Origin>,
 }
--- a/tests/pieces_tree.rs
+++ b/tests/pieces_tree.rs
@@ -219,3 +219,19 @@
     assert!(pieces.insert(Millis(1_600), 0, content(0)));
     assert!(!pieces.is_stuck(Millis(2_000)));
 }
+
+/// Guards against an agent that lists and ranks all others 50 times a second though it can
+/// start no pull.
+#[test]
+fn nothing_to_pull_is_known_at_once() {
+    let fleet = Fleet::new(2, 4);
+    let group = fleet.group(0);
+    let mut pieces = Pieces::new(digests(), Millis(0));
+    assert!(pieces.can_pull());
+    assert!(!pieces.start_pulls(Millis(0), &group).is_empty());
+    for index in 0..COUNT {
+        pieces.insert(Millis(1), index, content(index));
+    }
+    assert!(pieces.is_complete() && !pieces.can_pull());
+    assert!(pieces.start_pulls(Millis(2), &group).is_empty());
+}
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -1,5 +1,7 @@
 //! Placement while some upstreams fail, answer "misdirected", load or leave.
 
+use std::sync::Arc;
+
 use chervilquay::member::registry::Holding;
 use chervilquay::member::registry::Registration;
 use chervilquay::route::engine::Size;
@@ -39,7 +41,7 @@
         name: "p".to_string(),
         health_path: String::new(),
         max_connections: 100,
-        engine: Some(chervilquay::bench::place::engine()),
+        engine: Some(Arc::new(chervilquay::bench::place::engine())),
         origin: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
--- a/tests/place_load.rs
+++ b/tests/place_load.rs
@@ -1,10 +1,19 @@
 //! Placement and admission under load patterns around and above the capacity, against
 //! emulated runners.
 
+mod support;
+
+use std::sync::Arc;
+
 use chervilquay::bench::place;
 use chervilquay::bench::place::Policy;
 use chervilquay::bench::place::Summary;
 use chervilquay::bench::place::load::Pattern;
+use chervilquay::route::placement::Placer;
+use chervilquay::table::routing::Limits;
+use chervilquay::table::routing::Pool;
+use chervilquay::table::routing::Routing;
+use support::placing;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -58,3 +67,26 @@
     let refused = mean(Pattern::Steady(60), Policy::Own, |s| s.refused);
     assert_eq!(refused, 0.0);
 }
+
+/// Guards against a copy of the engine's figures for each upstream whenever one of them
+/// changes.
+#[test]
+fn upstreams_share_the_figures_of_their_engine() {
+    let pool = Pool {
+        name: "p".to_string(),
+        health_path: String::new(),
+        max_connections: 100,
+        engine: Some(Arc::new(place::engine())),
+        origin: None,
+    };
+    let routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
+    let members: Vec<_> = (0..100)
+        .map(|index| placing::member(&format!("u{index}"), 1))
+        .collect();
+    let mut placer = Placer::new("z", 1);
+    for _ in 0..2 {
+        placer.set_members(&members, &routing);
+        let engine = routing.pool("p").and_then(|pool| pool.engine.as_ref());
+        assert_eq!(engine.map(Arc::strong_count), Some(1 + members.len()));
+    }
+}
--- a/tests/place_version.rs
+++ b/tests/place_version.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use chervilquay::member::registry::Holding;
 use chervilquay::member::registry::Registration;
 use chervilquay::rollout::versions::Naming;
@@ -54,7 +56,7 @@
         name: "p".to_string(),
         health_path: String::new(),
         max_connections: 100,
-        engine: Some(engine),
+        engine: Some(Arc::new(engine)),
         origin: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
