gossip: Send small changes of the store with their news

An entry or agent that heard of a newer revision fetched the changes from a reader of its zone, on a connection of its own: with 37 processes a zone, two readers answered 35 fetches for each change (248 new connections a second at the busiest process at 300 machines, docs/CAPACITY.md).

A reader whose replica has moved sends changes of up to 1,000 bytes in the datagram that tells the new revision. A replica that lacks just these applies them; one that missed an earlier datagram fetches as before, and a process that reads the store itself takes nothing. Pushed changes are no sign that the store serves (they may have waited in a socket), so they do not shorten the grace period of registrations; what readers tell of their uptime still does.

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -20,6 +20,7 @@
 use crate::direct::node::Node;
 use crate::direct::replication;
 use crate::direct::wire::Datagram;
+use crate::direct::wire::DeltaDoc;
 use crate::direct::wire::NamedDoc;
 use crate::direct::wire::PeerDoc;
 use crate::member::peers::Peer;
@@ -31,6 +32,7 @@
 use crate::member::schedule::Sender;
 use crate::member::schedule::Target;
 use crate::member::schedule::ZONE_INTERVAL;
+use crate::metric::Metric;
 use crate::net::rt;
 use crate::prelude::*;
 use crate::util::lock;
@@ -47,6 +49,10 @@
 /// Most processes listed in the reply to a process that asks for one.
 const MAX_LISTED_IN_REPLY: usize = 64;
 
+/// Most bytes of changes in a datagram, so that it fits in one packet. Larger changes are
+/// fetched.
+const MAX_CHANGES: usize = 1_000;
+
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 60 << 10;
 
@@ -174,6 +180,7 @@
                 }
             }
         }
+        self.apply_changes(now, datagram);
         self.compare_revision(now, datagram);
         if !datagram.named.is_empty() {
             let named = datagram.named.iter().map(|doc| doc.to_named(now));
@@ -191,6 +198,32 @@
         }
     }
 
+    /// Applies the changes in a datagram if only these are missing here. A process that
+    /// reads the store itself gets them from there.
+    fn apply_changes(&self, now: Millis, datagram: &Datagram) {
+        let Some(changes) = datagram.changes.clone() else {
+            return;
+        };
+        let revision = self.node.cluster().replica.revision();
+        if !datagram.reads || replication::is_reader(&self.node) {
+            return;
+        }
+        if let Some(doc) = changes.completes(datagram.since, revision) {
+            self.node.metrics().count(Metric::PeerPushed, 1);
+            self.node.cluster().watch.on_peer_news(now);
+            let grace = doc.grace_left(Millis(0));
+            self.node.apply(doc.into_delta(), grace, &datagram.name);
+        }
+    }
+
+    /// Returns the changes of the own replica after `since`, if they fit in a datagram.
+    fn changes_after(&self, now: Millis, since: u64) -> Option<DeltaDoc> {
+        let cluster = self.node.cluster();
+        let delta = cluster.replica.since(since);
+        let doc = DeltaDoc::new(delta, cluster.grace_left(now));
+        (!doc.whole && doc.encoded_len() <= MAX_CHANGES).then_some(doc)
+    }
+
     /// Records from a peer's revision whether the own replica lacks changes, and
     /// for how long the store has answered that peer.
     fn compare_revision(&self, now: Millis, datagram: &Datagram) {
@@ -225,12 +258,24 @@
                 urgent: has_urgent_change(&last, &current),
             };
             let (targets, far_interval) = self.targets(now, changes);
-            let near = current.encode_to_vec();
+            let pushed = if changes.revision && last.revision > 0 {
+                self.changes_after(now, last.revision)
+            } else {
+                None
+            };
+            let mut near = Vec::new();
+            if targets.iter().any(|t| t.kind == Kind::Near) {
+                let mut datagram = current.clone();
+                datagram.set_changes(pushed.clone(), last.revision);
+                near = datagram.encode_to_vec();
+            }
             let (mut zone, mut far, mut brief) = (Vec::new(), Vec::new(), Vec::new());
             if targets.iter().any(|t| t.kind != Kind::Near) {
                 let mut datagram = self.datagram(now, count, false, false);
+                datagram.set_changes(pushed, last.revision);
                 datagram.interval = ZONE_INTERVAL.0 as u32;
                 zone = datagram.encode_to_vec();
+                datagram.set_changes(None, 0);
                 datagram.interval = far_interval.0 as u32;
                 far = datagram.encode_to_vec();
                 datagram.status = None;
--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -208,7 +208,10 @@
             }
             let asked = node.now();
             let client = clients.entry(ip).or_insert_with(|| peer_client(&node, ip));
-            match fetch(client, revision).await {
+            let outcome = fetch(client, revision).await;
+            let code = outcome.as_ref().err().map(|error| error.code);
+            node.metrics().outcome(Metric::PeerFetched, code);
+            match outcome {
                 Ok(doc) => {
                     let grace = doc.grace_left(node.now().since(asked));
                     if !doc.docs.is_empty() {
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -68,6 +68,21 @@
     /// the sender does not say.
     #[prost(uint32, tag = "17")]
     pub interval: u32,
+    /// Changes of the replica after `since`; none when nothing has changed or they do
+    /// not fit.
+    #[prost(message, optional, tag = "18")]
+    pub changes: Option<DeltaDoc>,
+    /// Revision that a replica must have reached for `changes` to complete it.
+    #[prost(uint64, tag = "19")]
+    pub since: u64,
+}
+
+impl Datagram {
+    /// Sets the changes of the replica after the revision `since`.
+    pub fn set_changes(&mut self, changes: Option<DeltaDoc>, since: u64) {
+        self.since = if changes.is_some() { since } else { 0 };
+        self.changes = changes;
+    }
 }
 
 /// A version of weights that the operator named.
@@ -259,6 +274,13 @@
         self.named.iter().map(|doc| doc.to_named(now)).collect()
     }
 
+    /// Returns the changes if they complete a replica at `revision`, whose last
+    /// complete revision at the sender was `since`.
+    pub fn completes(self, since: u64, revision: u64) -> Option<DeltaDoc> {
+        let is_next = since <= revision && revision < self.upto;
+        (revision > 0 && is_next && !self.whole).then_some(self)
+    }
+
     /// Returns the rest of the grace period, when the fetch took `took`.
     ///
     /// All of `took` is subtracted, though the message was made within it:
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -80,6 +80,8 @@
     StreamPause = "stream.pause_ms", Histogram, "ms", "", "longest pause between two events of one stream";
     UpstreamOpen = "upstream.open", Gauge, "upstreams", "", "upstreams that an entry may send to now";
     StoreTotal = "store.total", Counter, "calls", "code", "calls to the platform's store, by result code, 0 for an answer";
+    PeerPushed = "peer.pushed", Counter, "datagrams", "", "datagrams whose changes of the store completed the own replica";
+    PeerFetched = "peer.fetched", Counter, "calls", "code", "calls to a peer for changes of the store, by result code, 0 for an answer";
     LogLeftOut = "log.left_out", Counter, "lines", "", "log lines beyond the bound of their kind";
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
     VersionExpired = "version.expired", Counter, "answers", "", "streams whose first event came after the expiry of the version that they were made from";
--- a/tests/replica_merge.rs
+++ b/tests/replica_merge.rs
@@ -2,9 +2,11 @@
 //! order in which changes and listings arrive.
 
 use bytes::Bytes;
+use chervilquay::direct::wire::DeltaDoc;
 use chervilquay::table::replica::Delta;
 use chervilquay::table::replica::Doc;
 use chervilquay::table::replica::Replica;
+use chervilquay::time::Millis;
 
 fn doc(key: &str, revision: u64, value: Option<&str>) -> Doc {
     Doc {
@@ -135,3 +137,26 @@
     assert!(!changes.full);
     assert_eq!(changes.docs, vec![doc("a", 13, None)]);
 }
+
+/// Guards against changes in a datagram that are taken for all that a replica lacks, though
+/// the datagram before was lost.
+#[test]
+fn pushed_changes_complete_only_the_next_revision() {
+    let mut sender = Replica::default();
+    sender.apply(delta(true, 10, vec![doc("a", 5, Some("1"))]));
+    sender.apply(delta(false, 12, vec![doc("b", 12, Some("1"))]));
+    sender.apply(delta(false, 14, vec![doc("a", 14, None)]));
+    let pushed = |since| DeltaDoc::new(sender.since(since), Millis(0));
+    for (revision, is_complete) in [(0, false), (10, false), (12, true), (13, true), (14, false)] {
+        let taken = pushed(12).completes(12, revision);
+        assert_eq!(taken.is_some(), is_complete, "at {revision}");
+    }
+    // A listing may be older than what it replaces.
+    assert!(pushed(0).completes(0, 12).is_none());
+    let mut receiver = Replica::default();
+    receiver.apply(delta(true, 10, vec![doc("a", 5, Some("1"))]));
+    receiver.apply(pushed(10).completes(10, 10).unwrap().into_delta());
+    assert_eq!(receiver.revision(), 14);
+    assert_eq!(value(&receiver, "a"), None);
+    assert_eq!(value(&receiver, "b"), Some("1".into()));
+}
