rollout: Bring a new version to a large pool before its bound

What happened when: 18.03 s agents hear of the version 18.2 s all 153 agents ask the origin for the digests; it accepts 48 connections and resets the rest: 1,015 failed reads until 32 s 20.5 s the origin is lost for 6 s; a copy takes 2.1 s on its link Ruled out: news of the version (all agents within 110 ms), the turns of the runners.

The digests take the same tree as the pieces: one agent asks the origin, one of each other zone asks that one, and the rest of a zone its own. After a failure the next in rank takes over. An agent has one pull at the origin, not two.

The tree of the pieces was a chain of zones, in which each zone waited for the copies that the agent before sent to all of its own zone. Now one agent of the origin's zone sends a piece to one of each other zone, and such uploads go first. A source that waits for its own piece is passed over after three waits, not two, as that took the tree apart; 16 pulls may wait, not 10.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -106,6 +106,7 @@
         match request.uri().path() {
             replication::PATH => replication::answer_peer(&self.node, &request),
             updater::PATH => self.updater.answer_piece(&request).await,
+            updater::DIGESTS_PATH => self.updater.answer_digests(&request).await,
             "/metrics" => Response::new(body::full(self.node.metrics().text())),
             "/dump" => Response::new(body::full(format!("{:#}\n", self.dump()))),
             _ => entry::status_only(StatusCode::NOT_FOUND),
--- a/src/direct/updater.rs
+++ b/src/direct/updater.rs
@@ -13,6 +13,7 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
+use prost::Message;
 use slog::info;
 use smol::channel;
 use smol::channel::Receiver;
@@ -22,6 +23,7 @@
 use crate::direct::decision_log::Kind;
 use crate::direct::entry::status_only;
 use crate::direct::node::Node;
+use crate::direct::wire::DigestsDoc;
 use crate::member::peers::Role;
 use crate::member::registry;
 use crate::metric::Metric;
@@ -43,21 +45,30 @@
 use crate::rollout::pieces::Source;
 use crate::rollout::reload::Reload;
 use crate::rollout::reload::RunnerState;
+use crate::rollout::uplink::Uplink;
 use crate::util::lock;
 
 /// Path on the internal port where other agents pull pieces.
 pub const PATH: &str = "/piece";
 
+/// Path on the internal port where peers ask for the digests of a version.
+pub const DIGESTS_PATH: &str = "/digests";
+
 /// Longest time for which a pull by a peer waits here until the piece has arrived.
 const MAX_WAIT_FOR_PIECE: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which a peer that asks for digests waits here until they are known.
+const MAX_WAIT_FOR_DIGESTS: Duration = Duration::from_millis(400);
+
+/// Timeout of such a call.
+const DIGESTS_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Longest answer with digests, in bytes.
+const MAX_DIGESTS: usize = 4 << 20;
+
 /// Timeout of a pull from a peer: its wait there and the transfer over a slow link.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Part of the VM's link that uploads of pieces may take: the answers of its runner
-/// use the same link and must not queue behind pieces.
-const UPLOAD_SHARE: f64 = 0.88;
-
 /// Interval at which the runner's report is read: its pace changes many times a
 /// second, and calls within the machine are not charged.
 const REPORT_INTERVAL: Duration = Duration::from_millis(20);
@@ -88,6 +99,8 @@
     staged: (u64, indexmap::IndexSet<u32>),
     /// When digests were last asked for.
     digests_at: Millis,
+    /// Version whose digests were asked for last, and how many times.
+    digest_tries: (u64, u32),
     /// Pieces with a wrong digest since the digests were read.
     wrong: u32,
     /// Decides when to order a load.
@@ -142,8 +155,8 @@
     progress: Mutex<Progress>,
     /// Notified when a piece arrives.
     arrived: Event,
-    /// When the next upload may start, by the rate limit.
-    next_upload: Mutex<Millis>,
+    /// Pace of the uploads to other agents.
+    uplink: Mutex<Uplink>,
     /// Version that each other agent can serve whole, and when it said so.
     peer_versions: Mutex<IndexMap<String, (u64, Millis)>>,
 }
@@ -165,7 +178,7 @@
             addr,
             progress: Mutex::default(),
             arrived: Event::new(),
-            next_upload: Mutex::default(),
+            uplink: Mutex::default(),
             peer_versions: Mutex::default(),
         }
     }
@@ -441,6 +454,12 @@
         stated.filter(|bytes| *bytes > 0).unwrap_or(MAX_PIECE)
     }
 
+    /// Returns the rate of the VM's link, in bytes a millisecond.
+    fn link_rate(&self) -> f64 {
+        // 1 Mbit/s is 125 bytes a millisecond.
+        (self.node.settings().link_mbps * 125.0).max(1.0)
+    }
+
     /// Returns the origin of weights and its zone, from the configuration.
     fn origin(&self) -> Option<(Origin, String)> {
         let routing = self.node.cluster().routing().cloned()?;
@@ -450,27 +469,50 @@
 
     /// Reads the digests of the wanted version unless they are known and trusted.
     async fn read_digests(&self, now: Millis, model: &str, version: u64) {
+        let (has_wrong, tries);
         {
             let mut progress = lock(&self.progress);
             let known = progress.newest.as_ref().map(|p| p.digests().version);
-            let has_wrong = progress.wrong >= MAX_WRONG_PIECES;
+            has_wrong = progress.wrong >= MAX_WRONG_PIECES;
             let is_known = known == Some(version) && !has_wrong;
-            if is_known || now.since(progress.digests_at) < DIGESTS_INTERVAL {
+            let (tried, count) = progress.digest_tries;
+            tries = if tried == version { count } else { 0 };
+            let pause = if tries == 0 {
+                Millis(0)
+            } else {
+                DIGESTS_INTERVAL
+            };
+            if is_known || now.since(progress.digests_at) < pause {
                 return;
             }
             progress.digests_at = now;
+            progress.digest_tries = (version, tries + 1);
         }
-        let Some((origin, _)) = self.origin() else {
-            return;
+        // Digests that do not match the pieces may have been changed on their way.
+        let source = if has_wrong {
+            Source::Origin
+        } else {
+            self.group(now, version)
+                .digest_source(model, version, tries)
         };
-        match origin.digests(model, version).await {
+        let outcome = match (self.address(&source), self.origin()) {
+            (Some(addr), _) => pull_digests(addr, model, version).await,
+            (None, Some((origin, _))) if source == Source::Origin => {
+                origin.digests(model, version).await
+            }
+            _ => Err(Error::new(Code::ChunkMissing, "source is gone")),
+        };
+        match outcome {
             Ok(digests) => {
                 info!(self.node.log().logger(), "rollout: version wanted";
-                    "model" => model, "version" => version, "pieces" => digests.pieces.len());
+                    "model" => model, "version" => version, "pieces" => digests.pieces.len(),
+                    "source" => format!("{source:?}"));
                 self.start_version(digests).await;
+                self.arrived.notify(usize::MAX);
             }
             Err(error) => {
-                info!(self.node.log().logger(), "rollout: digests cannot be read"; "version" => version, &error);
+                info!(self.node.log().logger(), "rollout: digests cannot be read";
+                    "version" => version, "source" => format!("{source:?}"), &error);
             }
         }
     }
@@ -570,19 +612,23 @@
         }
     }
 
+    /// Returns the address of a source that is a known agent.
+    fn address(&self, source: &Source) -> Option<SocketAddr> {
+        let Source::Agent(name) = source else {
+            return None;
+        };
+        let peers = self.node.peers();
+        let ip = peers.iter().find(|p| p.name == *name).map(|p| p.ip);
+        ip.map(|ip| self.node.internal_addr(ip))
+    }
+
     /// Starts one pull; its result goes to `sender`.
     fn start_pull(&self, pull: Pull, model: &str, version: u64, sender: Sender<Pulled>) {
         let (index, source) = (pull.index, pull.source);
         let model = model.to_string();
-        let address = match &source {
-            Source::Origin => None,
-            Source::Agent(name) => {
-                let peers = self.node.peers();
-                let ip = peers.iter().find(|p| p.name == *name).map(|p| p.ip);
-                ip.map(|ip| self.node.internal_addr(ip))
-            }
-        };
+        let address = self.address(&source);
         let origin = self.origin();
+        let zone = self.node.settings().zone.clone();
         let limit = self.piece_limit();
         rt::spawn(async move {
             let bytes = match (&source, address, origin) {
@@ -590,7 +636,7 @@
                     origin.piece(&model, version, index, limit).await
                 }
                 (Source::Agent(_), Some(addr), _) => {
-                    pull_from_peer(addr, &model, version, index, limit).await
+                    pull_from_peer(addr, &model, version, index, limit, &zone).await
                 }
                 _ => Err(Error::new(Code::ChunkMissing, "source is gone")),
             };
@@ -752,27 +798,44 @@
             None if lock(&self.progress).found_version == Some(version) => {
                 self.read_from_stage(&model, index).await
             }
-            None => self.wait_for_piece(version, index).await,
+            None => {
+                let find = || self.arrived_piece(version, index);
+                self.wait_for(MAX_WAIT_FOR_PIECE, find).await
+            }
         };
         let Some(bytes) = bytes else {
             return status_only(StatusCode::NOT_FOUND);
         };
-        self.await_upload(bytes.len()).await;
+        let zone = parameter(request.uri().query().unwrap_or_default(), "zone");
+        let is_far = zone.is_some_and(|zone| zone != self.node.settings().zone);
+        self.await_upload(bytes.len(), is_far).await;
         Response::new(body::full(bytes))
     }
 
-    /// Waits until the rate limit of uploads allows one of `length` bytes.
-    async fn await_upload(&self, length: usize) {
-        // 1 Mbit/s is 125 bytes a millisecond.
-        let rate = self.node.settings().link_mbps * 125.0 * UPLOAD_SHARE;
-        let span = Millis((length as f64 / rate.max(1.0)) as u64);
-        let now = self.node.now();
-        let start = {
-            let mut next = lock(&self.next_upload);
-            let start = (*next).max(now);
-            *next = start.plus(span);
-            start
+    /// Answers a peer that asks for the digests of a version: 404 when they have not
+    /// arrived in time.
+    pub async fn answer_digests(&self, request: &Request<Incoming>) -> Response<BoxBody> {
+        let query = request.uri().query().unwrap_or_default();
+        let version = parameter(query, "version").and_then(|text| text.parse().ok());
+        let (Some(model), Some(version)) = (parameter(query, "model"), version) else {
+            return status_only(StatusCode::BAD_REQUEST);
         };
+        let known = || {
+            let progress = lock(&self.progress);
+            let digests = progress.pieces_of(version)?.digests();
+            (digests.model == model).then(|| DigestsDoc::new(digests))
+        };
+        match self.wait_for(MAX_WAIT_FOR_DIGESTS, known).await {
+            Some(doc) => Response::new(body::full(doc.encode_to_vec())),
+            None => status_only(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Waits until the rate limit of uploads allows one of `length` bytes; `is_far` when
+    /// it goes to another zone.
+    async fn await_upload(&self, length: usize, is_far: bool) {
+        let now = self.node.now();
+        let start = lock(&self.uplink).admit(now, length, self.link_rate(), is_far);
         smol::Timer::after(start.since(now).duration()).await;
     }
 
@@ -793,17 +856,17 @@
         }
     }
 
-    /// Waits until a piece has arrived, up to [`MAX_WAIT_FOR_PIECE`].
-    async fn wait_for_piece(&self, version: u64, index: u32) -> Option<Bytes> {
+    /// Waits for at most `limit` until `find` finds what it looks for.
+    async fn wait_for<T>(&self, limit: Duration, find: impl Fn() -> Option<T>) -> Option<T> {
         let late = async {
-            smol::Timer::after(MAX_WAIT_FOR_PIECE).await;
+            smol::Timer::after(limit).await;
             None
         };
         let arrival = async {
             loop {
                 let arrived = self.arrived.listen();
-                if let Some(bytes) = self.arrived_piece(version, index) {
-                    return Some(bytes);
+                if let Some(found) = find() {
+                    return Some(found);
                 }
                 arrived.await;
             }
@@ -814,17 +877,36 @@
 
 /// Parses the query of a pull into model, version and index of the piece.
 fn parse_query(text: &str) -> Option<(String, u64, u32)> {
-    let get = |name: &str| {
-        let mut pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-    };
     Some((
-        get("model")?.to_string(),
-        get("version")?.parse().ok()?,
-        get("index")?.parse().ok()?,
+        parameter(text, "model")?.to_string(),
+        parameter(text, "version")?.parse().ok()?,
+        parameter(text, "index")?.parse().ok()?,
     ))
 }
 
+/// Returns the value of a parameter in the query of a pull.
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// Asks another agent for the digests of a version.
+async fn pull_digests(addr: SocketAddr, model: &str, version: u64) -> Result<PieceDigests> {
+    let peer = Client::new(addr);
+    let request = Request::get(format!("{DIGESTS_PATH}?model={model}&version={version}"))
+        .header("host", addr.to_string())
+        .body(body::full(""))
+        .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
+    let call = client::exchange(&peer, request, MAX_DIGESTS);
+    let (status, bytes) = client::timeout(DIGESTS_TIMEOUT, Code::SourceStalled, call).await?;
+    if status != StatusCode::OK {
+        return Err(Error::new(Code::ChunkMissing, format!("status {status}")));
+    }
+    let doc =
+        DigestsDoc::decode(bytes).map_err(|e| Error::new(Code::ManifestCorrupt, e.to_string()))?;
+    doc.to_digests(model, version)
+}
+
 /// Pulls a piece from another agent.
 async fn pull_from_peer(
     addr: SocketAddr,
@@ -832,10 +914,11 @@
     version: u64,
     index: u32,
     limit: usize,
+    zone: &str,
 ) -> Result<Bytes> {
     let peer = Client::new(addr);
     let request = Request::get(format!(
-        "{PATH}?model={model}&version={version}&index={index}"
+        "{PATH}?model={model}&version={version}&index={index}&zone={zone}"
     ))
     .header("host", addr.to_string())
     .body(body::full(""))
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -9,6 +9,8 @@
 use crate::once::Fingerprint;
 use crate::prelude::*;
 use crate::retry::Refusal;
+use crate::rollout::manifest::Digest;
+use crate::rollout::pieces::PieceDigests;
 use crate::rollout::versions::NamedVersion;
 use crate::rollout::versions::Naming;
 use crate::table::replica::Delta;
@@ -242,6 +244,46 @@
     pub value: Option<Bytes>,
 }
 
+/// Digests of the pieces of a version.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DigestsDoc {
+    /// Name of the model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Digest of each piece, as `sha256:` and 64 hexadecimal digits.
+    #[prost(string, repeated, tag = "3")]
+    pub pieces: Vec<String>,
+}
+
+impl DigestsDoc {
+    /// Encodes the digests of a version.
+    pub fn new(digests: &PieceDigests) -> DigestsDoc {
+        DigestsDoc {
+            model: digests.model.clone(),
+            version: digests.version,
+            pieces: digests.pieces.iter().map(Digest::to_string).collect(),
+        }
+    }
+
+    /// Returns the digests; fails with [`Code::ManifestCorrupt`] when they cannot be
+    /// decoded or are those of another model or version.
+    pub fn to_digests(&self, model: &str, version: u64) -> Result<PieceDigests> {
+        if self.model != model || self.version != version || self.pieces.is_empty() {
+            let detail = format!("digests of {} {}", self.model, self.version);
+            return Err(Error::new(Code::ManifestCorrupt, detail));
+        }
+        let pieces = self.pieces.iter().map(|text| text.parse::<Digest>());
+        Ok(PieceDigests {
+            model: self.model.clone(),
+            version,
+            pieces: pieces.collect::<Result<Vec<Digest>>>()?,
+        })
+    }
+}
+
 impl DeltaDoc {
     /// Encodes changes and the rest of the grace period.
     pub fn new(delta: Delta, left: Millis) -> DeltaDoc {
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -21,6 +21,7 @@
 pub mod reload;
 pub mod store;
 pub mod turn;
+pub mod uplink;
 pub mod upload;
 pub mod versions;
 
--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -2,9 +2,11 @@
 //!
 //! All agents want a new version at the same time, over narrow links, and new
 //! upstreams want the current one. For each piece the agents form a tree: the origin
-//! sends it to one agent of its zone, that one sends it to an agent of the next zone
-//! and so on, and each of these to the rest of its zone. So a piece leaves the origin
-//! once, enters each zone once, and no zone's links carry the copies of all others.
+//! sends it to one agent of its zone, that one sends it to one agent of each other zone,
+//! and each of these to the rest of its zone. So a piece leaves the origin once and
+//! enters each zone once. The digests of the pieces take the same way.
+
+use indexmap::IndexSet;
 
 use crate::prelude::*;
 use crate::rollout::manifest::Digest;
@@ -29,13 +31,18 @@
 ///
 /// A pull waits at its source until the source has the piece, so most of them use no
 /// bandwidth.
-const MAX_PULLS: usize = 10;
+const MAX_PULLS: usize = 16;
 
 /// Most pulls in progress at one agent.
 const MAX_PULLS_AT_AGENT: usize = 3;
 
-/// Most pulls in progress at the origin, whose link all agents share.
-const MAX_PULLS_AT_ORIGIN: usize = 2;
+/// Number of ranked agents of each zone that are tried as sources of digests, before the
+/// origin is asked.
+const DIGEST_SOURCES: u32 = 7;
+
+/// Most pulls of one agent in progress at the origin, whose link and connections all agents
+/// share.
+const MAX_PULLS_AT_ORIGIN: usize = 1;
 
 /// Time for which an agent that failed is not used as a source.
 const SOURCE_PAUSE: Millis = Millis(1_000);
@@ -46,7 +53,7 @@
 
 /// Number of pulls of a piece that find their source without it, after which the source
 /// is paused.
-const MAX_ABSENT: u32 = 2;
+const MAX_ABSENT: u32 = 3;
 
 /// Name of the origin among the paused sources; VMs never have an empty name.
 const ORIGIN: &str = "";
@@ -120,18 +127,41 @@
         names.chain(own).min_by_key(|name| rank::weight(key, name))
     }
 
-    /// Zone from which the own zone gets its copy; none for the one that pulls from the
-    /// origin.
-    ///
-    /// The zones form a chain, with the origin's zone first and the others by name.
+    /// Zone from which the own zone gets its copy: that of the origin, or the first by
+    /// name if no agent is there; none for that zone itself, which pulls from the origin.
     fn parent_zone(&self) -> Option<&str> {
         let others = self.others.iter().map(|h| h.zone.as_str());
         let zones = others.chain([self.zone.as_str()]);
-        let mut zones: Vec<&str> = zones.collect();
-        zones.sort_unstable_by_key(|zone| (*zone != self.origin_zone, *zone));
-        zones.dedup();
-        let own = zones.iter().position(|zone| *zone == self.zone)?;
-        zones.get(own.checked_sub(1)?).copied()
+        let first = zones.min_by_key(|zone| (*zone != self.origin_zone, *zone))?;
+        (first != self.zone).then_some(first)
+    }
+
+    /// Returns the source of the digests of a version; `tries` is the number of earlier
+    /// tries that failed. Each try leaves out one more agent of each zone, and the origin
+    /// is asked after some of them.
+    pub fn digest_source(&self, model: &str, version: u64, tries: u32) -> Source {
+        let key = format!("{model}/{version}/digests");
+        let skipped = tries % (DIGEST_SOURCES + 1);
+        if skipped == DIGEST_SOURCES {
+            return Source::Origin;
+        }
+        let own = (self.name.as_str(), self.zone.as_str());
+        let others = self
+            .others
+            .iter()
+            .map(|h| (h.name.as_str(), h.zone.as_str()));
+        let mut ranked: Vec<_> = others.chain([own]).collect();
+        ranked.sort_by_cached_key(|(name, _)| rank::weight(&key, name));
+        let mut seen: IndexMap<&str, u32> = IndexMap::new();
+        let mut skip = IndexSet::new();
+        for (name, zone) in ranked {
+            let rank = seen.entry(zone).or_insert(0);
+            if *rank < skipped {
+                skip.insert(name);
+            }
+            *rank += 1;
+        }
+        self.parent(&key, &|name| !skip.contains(name))
     }
 
     /// Returns the source in the tree from which this agent gets a piece.
@@ -230,7 +260,7 @@
 
     /// Ends a pull whose source does not have the piece yet.
     ///
-    /// A source that lacks it for the second time may never get it, so it is not used
+    /// A source that lacks it for the third time may never get it, so it is not used
     /// for a while, and the tree is formed without it.
     pub fn source_lacks(&mut self, now: Millis, index: u32) {
         let source = self.pulls.swap_remove(&index).map(|(source, _)| source);
--- a/tests/pieces_tree.rs
+++ b/tests/pieces_tree.rs
@@ -235,3 +235,29 @@
     assert!(pieces.is_complete() && !pieces.can_pull());
     assert!(pieces.start_pulls(Millis(2), &group).is_empty());
 }
+
+/// Guards against all agents of a pool asking the origin for the digests of a new version:
+/// the connections that it accepts are few.
+#[test]
+fn one_agent_asks_the_origin_for_digests() {
+    let fleet = Fleet::new(5, 18);
+    let sources = |tries| {
+        let source = |own| fleet.group(own).digest_source("m", 2, tries);
+        (0..90).map(source).collect::<Vec<_>>()
+    };
+    let mut askers = Vec::new();
+    for tries in 0..7 {
+        let sources = sources(tries);
+        let asks: Vec<usize> = (0..90).filter(|i| sources[*i] == Source::Origin).collect();
+        // Agents that were left out ask too, as they may work but not be reached.
+        assert!(asks.len() <= tries as usize + 1, "try {tries}: {asks:?}");
+        for asker in &asks {
+            assert_eq!(fleet.names[*asker].1, "z1", "the zone of the origin");
+        }
+        let new = asks.iter().filter(|asker| !askers.contains(*asker));
+        assert_eq!(new.count(), 1, "another agent after each failure");
+        askers = asks;
+    }
+    // An agent that knows no other that works asks the origin in the end.
+    assert!(sources(7).iter().all(|source| *source == Source::Origin));
+}
