--- a/tests/peer_push.rs
+++ b/tests/peer_push.rs
@@ -15,8 +15,8 @@
 fn version(entry: &Entry) -> u64 {
     let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
     let dump = send(entry.internal, text).expect("the state");
-    let state: serde_json::Value = serde_json::from_slice(&dump.body).unwrap();
-    state["config"].as_u64().unwrap()
+    let state: serde_json::Value = serde_json::from_slice(&dump.body).expect("JSON");
+    state["config"].as_u64().expect("a number")
 }
 
 /// Value of a counter, over all its tags.
