tests: Wait until a stopped process has stopped

agent_paused_across_deadline failed once beside load: the booking that was sent after SIGSTOP got 200 instead of "unknown", so the agent ran it.

Cause: kill returns before all threads of the process have stopped. The agent may run a request in that time, which is allowed: the test meant a paused agent and did not have one.

--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -103,13 +103,30 @@
         process
     }
 
-    /// Sends a signal by its name, such as `TERM`.
+    /// Sends a signal by its name, such as `TERM`. After `STOP`, no thread of the process
+    /// runs when this returns.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .args([&format!("-{name}"), &self.child.id().to_string()])
             .status()
             .unwrap();
         assert!(status.success());
+        if name == "STOP" {
+            until("all threads are stopped", || self.is_stopped());
+        }
+    }
+
+    /// True when every thread of the process is stopped: some still run for a while after
+    /// `kill` has returned.
+    fn is_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let mut states = tasks.map(|task| {
+            let stat = std::fs::read_to_string(task.unwrap().path().join("stat"));
+            let stat = stat.unwrap_or_default();
+            // The name of the thread may hold any character.
+            stat.rsplit(") ").next().map(|rest| rest.starts_with('T'))
+        });
+        states.all(|is_stopped| is_stopped == Some(true))
     }
 
     /// True when the process has ended.
