rollout: Keep the link of the origin full where few agents pull from it

The agents of the origin's zone share 24 pulls, one or two each: two up to twelve agents, one beyond.

--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -40,9 +40,12 @@
 /// origin is asked.
 const DIGEST_SOURCES: u32 = 7;
 
-/// Most pulls of one agent in progress at the origin, whose link and connections all agents
-/// share.
-const MAX_PULLS_AT_ORIGIN: usize = 1;
+/// Pulls in progress at the origin that the agents of its zone share: enough to keep its
+/// link full, and few of the connections that it accepts.
+const PULLS_AT_ORIGIN: usize = 24;
+
+/// Most of these that one agent starts.
+const MAX_PULLS_AT_ORIGIN: usize = 2;
 
 /// Time for which an agent that failed is not used as a source.
 const SOURCE_PAUSE: Millis = Millis(1_000);
@@ -325,7 +328,7 @@
                 continue;
             }
             let running = self.pulls.values().filter(|(s, _)| *s == source).count();
-            if running >= self.max_pulls(&source) {
+            if running >= max_pulls(&source, group) {
                 continue;
             }
             self.pulls.insert(index, (source.clone(), now));
@@ -334,14 +337,6 @@
         started
     }
 
-    /// Most pulls in progress at a source.
-    fn max_pulls(&self, source: &Source) -> usize {
-        match source {
-            Source::Origin => MAX_PULLS_AT_ORIGIN,
-            Source::Agent(_) => MAX_PULLS_AT_AGENT,
-        }
-    }
-
     /// Key under which agents are ranked for a piece.
     fn rank_key(&self, index: u32) -> String {
         format!("{}/{}/{index}", self.digests.model, self.digests.version)
@@ -375,3 +370,14 @@
         group.parent(&key, &is_usable)
     }
 }
+
+/// Most pulls of an agent in progress at a source.
+fn max_pulls(source: &Source, group: &Group) -> usize {
+    match source {
+        Source::Origin => {
+            let zone = group.others.iter().filter(|h| h.zone == group.zone);
+            (PULLS_AT_ORIGIN / (1 + zone.count())).clamp(1, MAX_PULLS_AT_ORIGIN)
+        }
+        Source::Agent(_) => MAX_PULLS_AT_AGENT,
+    }
+}
--- a/tests/pieces_tree.rs
+++ b/tests/pieces_tree.rs
@@ -261,3 +261,28 @@
     // An agent that knows no other that works asks the origin in the end.
     assert!(sources(7).iter().all(|source| *source == Source::Origin));
 }
+
+/// Guards against an origin whose link is not full while a few agents pull from it, and
+/// against more connections than it accepts when there are many.
+#[test]
+fn pulls_at_the_origin_follow_the_zone() {
+    let count_pulls = |each| {
+        let fleet = Fleet::new(3, each);
+        let agents = 0..3 * each;
+        let pulls = agents.map(|own| {
+            let mut pieces = Pieces::new(digests(), Millis(0));
+            let started = pieces.start_pulls(Millis(0), &fleet.group(own));
+            started
+                .iter()
+                .filter(|p| p.source == Source::Origin)
+                .count()
+        });
+        pulls.sum::<usize>()
+    };
+    assert_eq!(count_pulls(3), 6);
+    assert_eq!(count_pulls(7), 14);
+    for each in [18, 30, 48] {
+        let pulls = count_pulls(each);
+        assert!((12..=48).contains(&pulls), "{each} agents: {pulls} pulls");
+    }
+}
