--- a/src/direct/updater.rs
+++ b/src/direct/updater.rs
@@ -46,6 +46,7 @@
 use crate::rollout::reload::Reload;
 use crate::rollout::reload::RunnerState;
 use crate::rollout::uplink::Uplink;
+use crate::util;
 use crate::util::lock;
 
 /// Path on the internal port where other agents pull pieces.
@@ -454,6 +455,12 @@
         stated.filter(|bytes| *bytes > 0).unwrap_or(MAX_PIECE)
     }
 
+    /// Returns the hash of the own zone, by which pulls name it: a name may not fit in a
+    /// query.
+    fn zone_hash(&self) -> u64 {
+        util::stable_hash([self.node.settings().zone.as_str()])
+    }
+
     /// Returns the rate of the VM's link, in bytes a millisecond.
     fn link_rate(&self) -> f64 {
         // 1 Mbit/s is 125 bytes a millisecond.
@@ -628,7 +635,7 @@
         let model = model.to_string();
         let address = self.address(&source);
         let origin = self.origin();
-        let zone = self.node.settings().zone.clone();
+        let zone = self.zone_hash();
         let limit = self.piece_limit();
         rt::spawn(async move {
             let bytes = match (&source, address, origin) {
@@ -636,7 +643,7 @@
                     origin.piece(&model, version, index, limit).await
                 }
                 (Source::Agent(_), Some(addr), _) => {
-                    pull_from_peer(addr, &model, version, index, limit, &zone).await
+                    pull_from_peer(addr, &model, version, index, limit, zone).await
                 }
                 _ => Err(Error::new(Code::ChunkMissing, "source is gone")),
             };
@@ -807,7 +814,8 @@
             return status_only(StatusCode::NOT_FOUND);
         };
         let zone = parameter(request.uri().query().unwrap_or_default(), "zone");
-        let is_far = zone.is_some_and(|zone| zone != self.node.settings().zone);
+        let zone = zone.and_then(|text| text.parse().ok());
+        let is_far = zone.is_some_and(|zone: u64| zone != self.zone_hash());
         self.await_upload(bytes.len(), is_far).await;
         Response::new(body::full(bytes))
     }
@@ -914,7 +922,7 @@
     version: u64,
     index: u32,
     limit: usize,
-    zone: &str,
+    zone: u64,
 ) -> Result<Bytes> {
     let peer = Client::new(addr);
     let request = Request::get(format!(
