placement: Use runners of other zones that do not report here when no other is left

Since they were never used: the candidates that the change set aside were dropped instead of taken up when no others were found, so an entry whose zone had no usable runner answered "no upstream" (E4006) though runners of other zones held the version.

tests/place_health.rs: runners_that_do_not_report_here_come_last fails before (no upstream) and passes after.

--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -553,6 +553,9 @@
                 cooling = Some((target.recovery.cooldown_end(), first_ms, key));
             }
         }
+        if found.is_empty() {
+            found = unreported;
+        }
         if found.is_empty() {
             // Every other upstream has failed lately. The one whose cooldown
             // ends first is the best that is left.
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -216,3 +216,34 @@
     };
     assert!(placer.get(target).is_some_and(|t| t.registration.id == "a"));
 }
+
+/// Guards against requests to runners of another zone whose load is not known, while one of
+/// the own zone or one that reports can take them.
+#[test]
+fn runners_that_do_not_report_here_come_last() {
+    let far = |id| Registration {
+        zone: "y".to_string(),
+        ..member(id, 1)
+    };
+    let mut placer = placer(&[member("own", 1), far("silent"), far("told")]);
+    let now = Millis(1_000);
+    let status = RunnerStatus {
+        holdings: holdings(1),
+        loading: false,
+        calls: 0,
+        pace: 1.0,
+        measured_at: now,
+        reload_at: None,
+    };
+    placer.on_status("told", status);
+    let mut left_out = Vec::new();
+    for expected in [&["own", "told"][..], &["own", "told"], &["silent"]] {
+        let choice = placer.choose(now, &profile(0), &left_out);
+        let Choice::Send { target, .. } = choice else {
+            panic!("{choice:?} after {} were left out", left_out.len())
+        };
+        let id = placer.get(target).map(|t| t.registration.id.clone());
+        assert!(id.is_some_and(|id| expected.contains(&id.as_str())));
+        left_out.push(target);
+    }
+}
