--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -159,8 +159,12 @@
             if is_new_start {
                 lock(&self.schedule).forget(from);
             }
-            let interval = schedule::far_interval(&peers, &own.zone);
-            let interval = interval.max(Millis(u64::from(datagram.interval)));
+            let interval = if datagram.peers.is_empty() {
+                Millis(0)
+            } else {
+                let interval = schedule::far_interval(&peers, &own.zone);
+                interval.max(Millis(u64::from(datagram.interval)))
+            };
             for listed in &datagram.peers {
                 let Ok(ip) = listed.ip.parse() else {
                     continue;
@@ -201,14 +205,14 @@
     /// Applies the changes in a datagram if only these are missing here. A process that
     /// reads the store itself gets them from there.
     fn apply_changes(&self, now: Millis, datagram: &Datagram) {
-        let Some(changes) = datagram.changes.clone() else {
+        let Some(changes) = &datagram.changes else {
             return;
         };
         let revision = self.node.cluster().replica.revision();
         if !datagram.reads || replication::is_reader(&self.node) {
             return;
         }
-        if let Some(doc) = changes.completes(datagram.since, revision) {
+        if let Some(doc) = changes.clone().completes(datagram.since, revision) {
             self.node.metrics().count(Metric::PeerPushed, 1);
             self.node.cluster().watch.on_peer_news(now);
             let grace = doc.grace_left(Millis(0));
@@ -257,7 +261,7 @@
                 revision: last.revision != current.revision && current.reads,
                 urgent: has_urgent_change(&last, &current),
             };
-            let (targets, far_interval) = self.targets(now, changes);
+            let targets = self.targets(now, changes);
             let pushed = if changes.revision && last.revision > 0 {
                 self.changes_after(now, last.revision)
             } else {
@@ -276,6 +280,8 @@
                 datagram.interval = ZONE_INTERVAL.0 as u32;
                 zone = datagram.encode_to_vec();
                 datagram.set_changes(None, 0);
+                let zone_name = &self.node.settings().zone;
+                let far_interval = schedule::far_interval(&self.node.peers(), zone_name);
                 datagram.interval = far_interval.0 as u32;
                 far = datagram.encode_to_vec();
                 datagram.status = None;
@@ -304,10 +310,9 @@
         }
     }
 
-    /// Returns the processes that a datagram is due to now; also returns the longest
-    /// interval to processes of other zones. Seeds that are not known yet are asked
-    /// for a reply.
-    fn targets(&self, now: Millis, changes: Changes) -> (Vec<Target>, Millis) {
+    /// Returns the processes that a datagram is due to now. Seeds that are not known yet
+    /// are asked for a reply.
+    fn targets(&self, now: Millis, changes: Changes) -> Vec<Target> {
         let own = self.node.settings();
         let sender = Sender {
             name: &own.name,
@@ -317,8 +322,7 @@
         };
         let seeds: Vec<IpAddr> = own.seeds.iter().map(|seed| seed.ip()).collect();
         let peers = self.node.peers();
-        let targets = lock(&self.schedule).due(now, &sender, &peers, &seeds, changes);
-        (targets, schedule::far_interval(&peers, &own.zone))
+        lock(&self.schedule).due(now, &sender, &peers, &seeds, changes)
     }
 
     /// Builds a datagram. It lists up to `listed` known processes, starting at a random
--- a/src/direct/updater.rs
+++ b/src/direct/updater.rs
@@ -464,7 +464,7 @@
     /// Returns the rate of the VM's link, in bytes a millisecond.
     fn link_rate(&self) -> f64 {
         // 1 Mbit/s is 125 bytes a millisecond.
-        (self.node.settings().link_mbps * 125.0).max(1.0)
+        self.node.settings().link_mbps * 125.0
     }
 
     /// Returns the origin of weights and its zone, from the configuration.
@@ -900,22 +900,14 @@
 
 /// Asks another agent for the digests of a version.
 async fn pull_digests(addr: SocketAddr, model: &str, version: u64) -> Result<PieceDigests> {
-    let peer = Client::new(addr);
-    let request = Request::get(format!("{DIGESTS_PATH}?model={model}&version={version}"))
-        .header("host", addr.to_string())
-        .body(body::full(""))
-        .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-    let call = client::exchange(&peer, request, MAX_DIGESTS);
-    let (status, bytes) = client::timeout(DIGESTS_TIMEOUT, Code::SourceStalled, call).await?;
-    if status != StatusCode::OK {
-        return Err(Error::new(Code::ChunkMissing, format!("status {status}")));
-    }
+    let path = format!("{DIGESTS_PATH}?model={model}&version={version}");
+    let bytes = get_from_peer(addr, &path, MAX_DIGESTS, DIGESTS_TIMEOUT).await?;
     let doc =
         DigestsDoc::decode(bytes).map_err(|e| Error::new(Code::ManifestCorrupt, e.to_string()))?;
     doc.to_digests(model, version)
 }
 
-/// Pulls a piece from another agent.
+/// Pulls a piece from another agent; `zone` is the hash of the own zone.
 async fn pull_from_peer(
     addr: SocketAddr,
     model: &str,
@@ -923,16 +915,26 @@
     index: u32,
     limit: usize,
     zone: u64,
+) -> Result<Bytes> {
+    let path = format!("{PATH}?model={model}&version={version}&index={index}&zone={zone}");
+    get_from_peer(addr, &path, limit, PULL_TIMEOUT).await
+}
+
+/// Reads an answer of at most `limit` bytes from another agent; fails with
+/// [`Code::ChunkMissing`] for any status but 200.
+async fn get_from_peer(
+    addr: SocketAddr,
+    path: &str,
+    limit: usize,
+    timeout: Duration,
 ) -> Result<Bytes> {
     let peer = Client::new(addr);
-    let request = Request::get(format!(
-        "{PATH}?model={model}&version={version}&index={index}&zone={zone}"
-    ))
-    .header("host", addr.to_string())
-    .body(body::full(""))
-    .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
+    let request = Request::get(path)
+        .header("host", addr.to_string())
+        .body(body::full(""))
+        .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
     let call = client::exchange(&peer, request, limit);
-    let (status, bytes) = client::timeout(PULL_TIMEOUT, Code::SourceStalled, call).await?;
+    let (status, bytes) = client::timeout(timeout, Code::SourceStalled, call).await?;
     if status != StatusCode::OK {
         return Err(Error::new(Code::ChunkMissing, format!("status {status}")));
     }
--- a/tests/peer_schedule.rs
+++ b/tests/peer_schedule.rs
@@ -49,17 +49,20 @@
     peers
 }
 
+fn sender(own: &Peer) -> Sender<'_> {
+    Sender {
+        name: &own.name,
+        zone: &own.zone,
+        ip: own.ip,
+        role: own.role,
+    }
+}
+
 /// Datagrams that process `own` of a fleet sends a second to each kind of receiver,
 /// while its figures change all the time.
 fn rates(own: usize, count: usize) -> Vec<(Kind, f64)> {
     let peers = others(own, count);
     let own = peer(own);
-    let sender = Sender {
-        name: &own.name,
-        zone: &own.zone,
-        ip: own.ip,
-        role: own.role,
-    };
     let changes = Changes {
         figures: true,
         revision: false,
@@ -70,7 +73,7 @@
     let mut sent = kinds.map(|kind| (kind, 0.0));
     for tick in 0..RUN_MS / TICK_MS {
         let now = Millis(100_000 + tick * TICK_MS);
-        for target in schedule.due(now, &sender, &peers, &[], changes) {
+        for target in schedule.due(now, &sender(&own), &peers, &[], changes) {
             for (kind, count) in &mut sent {
                 *count += if *kind == target.kind { 1.0 } else { 0.0 };
             }
@@ -171,12 +174,6 @@
 fn new_start_is_told_at_once() {
     let peers = others(0, 300);
     let own = peer(0);
-    let sender = Sender {
-        name: &own.name,
-        zone: &own.zone,
-        ip: own.ip,
-        role: own.role,
-    };
     let quiet = Changes {
         figures: false,
         revision: false,
@@ -184,11 +181,11 @@
     };
     let mut schedule = Schedule::default();
     let now = Millis(100_000);
-    let first = schedule.due(now, &sender, &peers, &[], quiet);
+    let first = schedule.due(now, &sender(&own), &peers, &[], quiet);
     assert_eq!(first.len(), 299, "every process is told once");
     let restarted = peer(299).ip;
     schedule.forget(restarted);
-    let next = schedule.due(now.plus(Millis(20)), &sender, &peers, &[], quiet);
+    let next = schedule.due(now.plus(Millis(20)), &sender(&own), &peers, &[], quiet);
     let told: Vec<IpAddr> = next.iter().map(|target| target.ip).collect();
     assert_eq!(told, [restarted]);
     assert!(schedule::far_interval(&peers, &own.zone) > Millis(900));
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -36,6 +36,18 @@
     }
 }
 
+/// Report of a runner that holds the first version and has no requests.
+fn idle(measured_at: Millis) -> RunnerStatus {
+    RunnerStatus {
+        holdings: holdings(1),
+        loading: false,
+        calls: 0,
+        pace: 1.0,
+        measured_at,
+        reload_at: None,
+    }
+}
+
 fn routing() -> Routing {
     let pool = Pool {
         name: "p".to_string(),
@@ -91,14 +103,7 @@
     assert!(send(&mut placer, now, Outcome::Misdirected).is_some());
     assert!(send(&mut placer, now, Outcome::Misdirected).is_some());
     assert_eq!(send(&mut placer, now, Outcome::Misdirected), None);
-    let status = RunnerStatus {
-        holdings: holdings(1),
-        loading: false,
-        calls: 0,
-        pace: 1.0,
-        measured_at: Millis(1_100),
-        reload_at: None,
-    };
+    let status = idle(Millis(1_100));
     placer.on_status("a", status);
     let chosen = send(&mut placer, Millis(1_120), Outcome::Done);
     assert_eq!(chosen.as_deref(), Some("a"));
@@ -147,10 +152,7 @@
     let busy = RunnerStatus {
         holdings: holdings(2),
         loading: true,
-        calls: 0,
-        pace: 1.0,
-        measured_at: Millis(1_000),
-        reload_at: None,
+        ..idle(Millis(1_000))
     };
     placer.on_status("c", busy);
     assert_eq!(
@@ -169,12 +171,8 @@
     let now = Millis(1_000);
     for (id, reload_at) in [("a", Some(Millis(1_100))), ("b", None)] {
         let status = RunnerStatus {
-            holdings: holdings(1),
-            loading: false,
-            calls: 0,
-            pace: 1.0,
-            measured_at: now,
             reload_at,
+            ..idle(now)
         };
         placer.on_status(id, status);
     }
@@ -190,12 +188,8 @@
 fn reports_count_calls_of_other_zones() {
     let mut placer = placer(&[member("a", 1), member("b", 1)]);
     let report = |calls: u32, at: u64| RunnerStatus {
-        holdings: holdings(1),
-        loading: false,
         calls,
-        pace: 1.0,
-        measured_at: Millis(at),
-        reload_at: None,
+        ..idle(Millis(at))
     };
     placer.on_status("a", report(16, 1_000));
     placer.on_status("b", report(13, 1_000));
@@ -227,14 +221,7 @@
     };
     let mut placer = placer(&[member("own", 1), far("silent"), far("told")]);
     let now = Millis(1_000);
-    let status = RunnerStatus {
-        holdings: holdings(1),
-        loading: false,
-        calls: 0,
-        pace: 1.0,
-        measured_at: now,
-        reload_at: None,
-    };
+    let status = idle(now);
     placer.on_status("told", status);
     let mut left_out = Vec::new();
     for expected in [&["own", "told"][..], &["own", "told"], &["silent"]] {
--- a/tests/reported_faults.rs
+++ b/tests/reported_faults.rs
@@ -21,6 +21,7 @@
 use support::prepared::Message;
 use support::prepared::Runner;
 use support::prepared::Store;
+use support::prepared::numbers;
 use support::prepared::read_message;
 use support::prepared::request;
 use support::prepared::send;
@@ -29,7 +30,6 @@
     store: Store,
     runner: Runner,
     entry: Entry,
-    _other: Runner,
 }
 
 /// Starts an entry with one runner of three routes, on the loopback address that ends in
@@ -38,7 +38,6 @@
     let ip = Ipv4Addr::new(127, 0, 23, last);
     let (store, addr) = Store::start(ip);
     let (runner, runner_addr) = Runner::start(ip);
-    let (other, _) = Runner::start(ip);
     store.put("op/config", &prepared::config(3));
     store.put("servers/i-1", &prepared::registered(runner_addr));
     let entry = Entry::start(ip, addr);
@@ -47,7 +46,6 @@
         store,
         runner,
         entry,
-        _other: other,
     }
 }
 
@@ -148,12 +146,6 @@
     assert_eq!(cut, 0, "of {answered} requests");
 }
 
-fn numbers(answer: &Message) -> Vec<u64> {
-    let text = answer.text();
-    let ids = text.lines().filter_map(|l| l.strip_prefix("id: "));
-    ids.map(|id| id.parse().expect("a number")).collect()
-}
-
 /// Reported: slow but sound streams were cut.
 #[test]
 fn slow_stream_is_not_cut() {
--- a/tests/stream_silence.rs
+++ b/tests/stream_silence.rs
@@ -23,6 +23,7 @@
 use support::prepared::Message;
 use support::prepared::Runner;
 use support::prepared::Store;
+use support::prepared::numbers;
 use support::prepared::request;
 use support::prepared::send;
 
@@ -95,12 +96,6 @@
     own.count()
 }
 
-fn numbers(answer: &Message) -> Vec<u64> {
-    let text = answer.text();
-    let ids = text.lines().filter_map(|l| l.strip_prefix("id: "));
-    ids.map(|id| id.parse().expect("a number")).collect()
-}
-
 fn assert_whole(running: JoinHandle<Option<Message>>) {
     let answer = running.join().ok().flatten().expect("an answer");
     let numbers = numbers(&answer);
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -116,6 +116,13 @@
     }
 }
 
+/// Returns the numbers of the events in an answer.
+pub fn numbers(answer: &Message) -> Vec<u64> {
+    let text = answer.text();
+    let ids = text.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.map(|id| id.parse().expect("a number")).collect()
+}
+
 fn listen(ip: Ipv4Addr) -> TcpListener {
     TcpListener::bind((ip, 0)).expect("a port")
 }
