gate: Log requests that are lost at an upstream, with the shared parts of their prompts

The logs could not tell which parts lost requests share, what the upstream had sent of them, and which losses an entry took for a crash.

--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -38,6 +38,8 @@
     Failed,
     /// A send that brought no answer, or a stream that was resumed elsewhere.
     Repeated,
+    /// A request whose upstream was lost, or a crash that such losses show.
+    Lost,
     /// A caller that disconnected during its stream.
     Left,
     /// A change of what is known of configuration, upstreams or versions.
@@ -49,12 +51,13 @@
 }
 }
 
-const KINDS: [Kind; 9] = [
+const KINDS: [Kind; 10] = [
     Kind::Answered,
     Kind::Late,
     Kind::Refused,
     Kind::Failed,
     Kind::Repeated,
+    Kind::Lost,
     Kind::Left,
     Kind::Belief,
     Kind::Weights,
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -120,17 +120,41 @@
     pub(super) answer_memory: Arc<MemoryBudget>,
 }
 
+common! { key
+/// How far an upstream has come with a call, by what it has sent.
+pub enum Progress {
+    /// Nothing was received yet.
+    Sent,
+    /// The head of the answer was received, and no whole event.
+    Head,
+    /// An event or the whole answer was received.
+    Event,
+}
+}
+
 /// A call to an upstream that the placement counts as in progress until this is
 /// dropped.
 pub struct CallGuard {
     entry: Arc<Entry>,
     call: Key<Call>,
     outcome: Outcome,
+    progress: Progress,
 }
 
 impl CallGuard {
+    /// Returns how far the upstream has come with the call.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Records the head of an answer.
+    pub fn record_head(&mut self) {
+        self.progress = Progress::Head;
+    }
+
     /// Records the first event of a stream, or a whole answer.
-    pub fn record_first(&self) {
+    pub fn record_first(&mut self) {
+        self.progress = Progress::Event;
         let now = self.entry.node.now();
         self.entry.placer().on_begun(now, self.call);
     }
@@ -260,6 +284,7 @@
             entry: self.clone(),
             call,
             outcome: Outcome::Dropped,
+            progress: Progress::Sent,
         }
     }
 
@@ -358,12 +383,23 @@
 
     /// Records a request whose upstream was lost while it may have been running. If
     /// several were lost there at once, all are counted as run at a crash.
-    pub fn record_lost(&self, inbound: &InboundRequest, target: Key<Target>) {
+    pub fn record_lost(&self, inbound: &InboundRequest, target: Key<Target>, progress: Progress) {
         let now = self.node.now();
         let upstream = self.upstream_id(target);
+        let log = self.node.log();
+        if log.admits(now, Kind::Lost) {
+            info!(log.logger(), "gate: request lost at its upstream";
+                "request" => &inbound.call.id, "upstream" => &upstream, "progress" => format!("{progress:?}"),
+                "shared_parts" => inbound.call.shared_parts.join(","),
+                "age_ms" => now.since(inbound.arrived).0);
+        }
         let attempt = util::stable_hash([inbound.call.id.as_str(), upstream.as_str()]);
         let crashed =
             lock(&self.crash_detector).record_loss(now, &upstream, inbound.fingerprint, attempt);
+        if !crashed.is_empty() && log.admits(now, Kind::Lost) {
+            info!(log.logger(), "gate: upstream has crashed";
+                "upstream" => &upstream, "lost" => crashed.len(), "source" => "lost requests");
+        }
         self.record_crashes(now, &crashed);
     }
 
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -425,9 +425,10 @@
         ..
     } = stream;
     call.set_outcome(Outcome::Failed);
+    let progress = call.progress();
     drop(call);
     if inbound.route.repeat == Repeat::Resume {
-        entry.record_lost(inbound, target);
+        entry.record_lost(inbound, target, progress);
     }
     upstream
 }
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -392,7 +392,7 @@
         }
         Err(error) => {
             call.set_outcome(Outcome::Failed);
-            entry.record_lost(inbound, target);
+            entry.record_lost(inbound, target, call.progress());
             SendOutcome::Unknown(error)
         }
     }
@@ -536,6 +536,7 @@
     if !is_matching {
         return Err(lost(format!("answer belongs to request {:?}", reply.id)));
     }
+    call.record_head();
     call.record_headers(&reply);
     let now = entry.node.now();
     if let Some(load) = &reply.load {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,6 +6,7 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::header;
+use indexmap::IndexSet;
 
 use crate::prelude::*;
 use crate::route::engine::Size;
@@ -24,6 +25,9 @@
 const MODEL: HeaderName = HeaderName::from_static("x-model");
 /// Prompt tokens and maximum answer tokens, separated by a comma.
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
+/// Parts of the prompt in order, separated by commas: an id and a length in tokens,
+/// separated by a colon.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// Caller's estimate of the answer's length, in tokens.
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 /// Rank in the runner's queue, 0 to 9; 0 is the most urgent.
@@ -81,6 +85,9 @@
     pub size: Option<Size>,
     /// Caller's estimate of the answer's length, in tokens; often far off.
     pub estimate: Option<f64>,
+    /// Ids of the parts of its prompt that other requests may have as well: all but the
+    /// last, which belongs to the request or its session.
+    pub shared_parts: Vec<String>,
     /// Id of the last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
 }
@@ -96,6 +103,23 @@
     text(headers, name).and_then(|value| value.trim().parse().ok())
 }
 
+/// Returns the ids of all parts of the prompt but the last, each once. Of a very long list,
+/// only the first are returned.
+fn shared_parts(headers: &HeaderMap) -> Vec<String> {
+    /// Most parts that are returned; prompts have a handful.
+    const MAX_PARTS: usize = 32;
+    let list = text(headers, PROMPT_PARTS).unwrap_or_default();
+    let Some((shared, _)) = list.rsplit_once(',') else {
+        return Vec::new();
+    };
+    let ids = shared.split(',').map(|part| {
+        let id = part.split_once(':').map_or(part, |(id, _)| id);
+        id.trim().to_ascii_lowercase()
+    });
+    let ids: IndexSet<String> = ids.filter(|id| !id.is_empty()).take(MAX_PARTS).collect();
+    ids.into_iter().collect()
+}
+
 /// Decodes the headers of a caller's request. One that cannot be decoded counts as
 /// missing.
 pub fn decode_caller(headers: &HeaderMap) -> CallerHeaders {
@@ -113,6 +137,7 @@
         model: text(headers, MODEL).map(str::to_string),
         size,
         estimate: number(headers, LENGTH_HINT),
+        shared_parts: shared_parts(headers),
         last_event: number(headers, LAST_EVENT),
     }
 }
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -221,3 +221,28 @@
         assert_eq!(back_off(status, "2"), None, "{status}");
     }
 }
+
+/// Guards against a part of one request alone, or its length, that counts as shared.
+#[test]
+fn shared_parts_are_decoded() {
+    let parts = |list: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-prompt-prefix", list.parse().expect("value"));
+        headers::decode_caller(&headers).shared_parts
+    };
+    assert_eq!(
+        parts("5c1e07a2:800,91BD3F06:410, e4402b7d:250"),
+        ["5c1e07a2", "91bd3f06"]
+    );
+    assert_eq!(parts("a:1,a:1,b:2"), ["a"]);
+    assert_eq!(parts("a,:3,b"), ["a"]);
+    assert!(parts("e4402b7d:250").is_empty());
+    assert!(parts("").is_empty());
+    let long = (0..1_000).map(|i| format!("{i:x}:1")).collect::<Vec<_>>();
+    assert_eq!(parts(&long.join(",")).len(), 32);
+    assert!(
+        headers::decode_caller(&HeaderMap::new())
+            .shared_parts
+            .is_empty()
+    );
+}
