--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -6,6 +6,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -15,6 +16,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -294,9 +296,58 @@
     disconnected: Arc<Mutex<Vec<String>>>,
     open_endless: Arc<AtomicUsize>,
     endless_bytes: Arc<AtomicU64>,
+    /// Part of a prompt on which it crashes, once it has sent the head of the answer.
+    deadly_part: Option<&'static str>,
+    /// Connections that are open, when it may crash.
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    is_down: Arc<AtomicBool>,
 }
 
 impl Runner {
+    /// Starts a runner that crashes when it begins to answer a request with this part in
+    /// its prompt: all connections are closed and new ones are refused for a short time.
+    pub fn start_crashing(ip: Ipv4Addr, part: &'static str) -> (Runner, SocketAddr) {
+        /// Time for which connections are refused after a crash.
+        const DOWN_TIME: Duration = Duration::from_millis(300);
+        let runner = Runner {
+            deadly_part: Some(part),
+            ..Runner::default()
+        };
+        let mut listener = listen(ip);
+        let addr = listener.local_addr().unwrap();
+        let held = runner.clone();
+        thread::spawn(move || {
+            loop {
+                listener.set_nonblocking(true).unwrap();
+                while !held.is_down.load(Ordering::Relaxed) {
+                    let Ok((stream, _)) = listener.accept() else {
+                        thread::sleep(Duration::from_millis(1));
+                        continue;
+                    };
+                    stream.set_nonblocking(false).unwrap();
+                    held.open.lock().unwrap().push(stream.try_clone().unwrap());
+                    let held = held.clone();
+                    thread::spawn(move || held.serve(stream));
+                }
+                drop(listener);
+                for stream in held.open.lock().unwrap().drain(..) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                thread::sleep(DOWN_TIME);
+                held.is_down.store(false, Ordering::Relaxed);
+                listener = TcpListener::bind(addr).expect("the same port");
+            }
+        });
+        (runner, addr)
+    }
+
+    /// Returns true for a request on which it crashes.
+    fn is_deadly(&self, request: &Message) -> bool {
+        let parts = request.header("x-prompt-prefix").unwrap_or("");
+        self.deadly_part
+            .is_some_and(|deadly| parts.split(',').any(|p| p.starts_with(deadly)))
+    }
+
     /// Starts a runner and returns its address.
     pub fn start(ip: Ipv4Addr) -> (Runner, SocketAddr) {
         let runner = Runner::default();
@@ -362,12 +413,25 @@
         self.endless_bytes.load(Ordering::Relaxed)
     }
 
+    /// Waits until it accepts connections again after a crash.
+    fn wait_until_up(&self) {
+        while self.is_down.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let mut last_id: Option<String> = None;
         while let Some(request) = read_message(&mut stream) {
             let id = request.header("x-request-id").unwrap_or("").to_string();
             let previous = last_id.replace(id.clone());
+            let is_deadly = self.is_deadly(&request);
             self.requests.lock().unwrap().push(request);
+            if is_deadly {
+                stream_head(&mut stream, &id);
+                self.is_down.store(true, Ordering::Relaxed);
+                return self.wait_until_up();
+            }
             let act = self.acts.lock().unwrap().pop_front();
             let own = [("X-Request-Id", id.as_str()), ("X-Response-Seal", "seal")];
             match act.unwrap_or(Act::Answer("whole")) {
