--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -18,6 +18,7 @@
 use crate::direct::updater;
 use crate::direct::updater::WeightUpdater;
 use crate::direct::wire::Datagram;
+use crate::direct::wire::EndDoc;
 use crate::direct::wire::HoldingDoc;
 use crate::direct::wire::StatusDoc;
 use crate::net::body;
@@ -78,6 +79,10 @@
 
     /// Adds the state of the runner to a datagram, once the runner has reported it.
     fn add_state(&self, now: Millis, datagram: &mut Datagram) {
+        datagram.ended = self.updater.last_end(now).map(|(at, upstream)| EndDoc {
+            upstream,
+            age: now.since(at).0 as u32,
+        });
         let Some((at, report)) = self.updater.report() else {
             return;
         };
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -18,6 +18,7 @@
 use smol::channel;
 use smol::channel::Receiver;
 
+use crate::direct::crash_guard::CrashGuard;
 use crate::direct::decision_log::Kind;
 use crate::direct::entry_gossip;
 use crate::direct::gossip::Gossip;
@@ -28,8 +29,7 @@
 use crate::direct::replication;
 use crate::direct::send;
 use crate::direct::send::Attempts;
-use crate::gate::CrashDetector;
-use crate::gate::Suspects;
+use crate::gate::Signatures;
 use crate::member::peers::Role;
 use crate::member::registry::Registration;
 use crate::metric::Metric;
@@ -106,10 +106,8 @@
     placer: Mutex<Placer>,
     /// Budgets of repeated sends, by pool.
     retry_budgets: Mutex<IndexMap<String, WindowBudget>>,
-    /// Counts of crashes that requests may have caused.
-    pub(super) suspects: Mutex<Suspects>,
-    /// Requests that were lost lately, to tell crashes from lost connections.
-    crash_detector: Mutex<CrashDetector>,
+    /// Requests that crash upstreams.
+    pub(super) crashes: CrashGuard,
     /// Clients with their idle connections, by address.
     clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
     /// Refused requests whose callers may send them again.
@@ -153,9 +151,10 @@
     }
 
     /// Records the first event of a stream, or a whole answer.
-    pub fn record_first(&mut self) {
+    pub fn record_first(&mut self, request: &Signatures) {
         self.progress = Progress::Event;
         let now = self.entry.node.now();
+        self.entry.crashes.record_answer(now, request);
         self.entry.placer().on_begun(now, self.call);
     }
 
@@ -198,8 +197,7 @@
         let entry = Arc::new(Entry {
             placer: Mutex::new(Placer::new(&zone, seed)),
             retry_budgets: Mutex::default(),
-            suspects: Mutex::default(),
-            crash_detector: Mutex::default(),
+            crashes: CrashGuard::new(node.clone()),
             clients: Mutex::default(),
             refusals: Mutex::default(),
             sizes: Mutex::default(),
@@ -381,40 +379,24 @@
         act(budget)
     }
 
-    /// Records a request whose upstream was lost while it may have been running. If
-    /// several were lost there at once, all are counted as run at a crash.
+    /// Records a request whose upstream ended the connection.
     pub fn record_lost(&self, inbound: &InboundRequest, target: Key<Target>, progress: Progress) {
-        let now = self.node.now();
         let upstream = self.upstream_id(target);
-        let log = self.node.log();
-        if log.admits(now, Kind::Lost) {
-            info!(log.logger(), "gate: request lost at its upstream";
-                "request" => &inbound.call.id, "upstream" => &upstream, "progress" => format!("{progress:?}"),
-                "shared_parts" => inbound.call.shared_parts.join(","),
-                "age_ms" => now.since(inbound.arrived).0);
-        }
-        let attempt = util::stable_hash([inbound.call.id.as_str(), upstream.as_str()]);
-        let crashed =
-            lock(&self.crash_detector).record_loss(now, &upstream, inbound.fingerprint, attempt);
-        if !crashed.is_empty() && log.admits(now, Kind::Lost) {
-            info!(log.logger(), "gate: upstream has crashed";
-                "upstream" => &upstream, "lost" => crashed.len(), "source" => "lost requests");
-        }
-        self.record_crashes(now, &crashed);
+        let now = self.node.now();
+        self.crashes.record_lost(now, inbound, &upstream, progress);
     }
 
-    /// Counts crashes against requests, given with a hash of their attempt.
-    fn record_crashes(&self, now: Millis, requests: &[(Fingerprint, u64)]) {
-        let mut suspects = lock(&self.suspects);
-        for (fingerprint, attempt) in requests {
-            suspects.record_crash(now, *fingerprint, *attempt);
-        }
+    /// Records an upstream at whose address no process listens.
+    pub fn record_refused(&self, target: Key<Target>) {
+        let upstream = self.upstream_id(target);
+        let now = self.node.now();
+        self.crashes
+            .record_end(now, now, &upstream, "refused connection");
     }
 
     /// Records a request whose answer is passed on whole.
     pub fn record_answer(&self, inbound: &InboundRequest, attempts: &Attempts, status: StatusCode) {
         let now = self.node.now();
-        lock(&self.suspects).record_success(now, &inbound.fingerprint);
         self.node.metrics().outcome(Metric::RequestTotal, None);
         if self.node.log().admits(now, Kind::Answered) {
             info!(self.node.log().logger(), "route: request answered";
@@ -434,7 +416,6 @@
         pause: Millis,
     ) {
         let now = self.node.now();
-        lock(&self.suspects).record_success(now, &inbound.fingerprint);
         self.node.metrics().outcome(Metric::RequestTotal, None);
         self.node.metrics().time(Metric::StreamFirst, first);
         self.node.metrics().time(Metric::StreamPause, pause);
@@ -537,20 +518,12 @@
         response
     }
 
-    /// Sends a request to upstreams, unless it is blocked as a suspect of crashes.
+    /// Sends a request to upstreams.
     async fn send(self: Arc<Entry>, inbound: InboundRequest) -> Response<BoxBody> {
         let now = self.node.now();
         self.count_request(now, &inbound.profile.pool);
         let id = inbound.call.id.clone();
         let patience = inbound.profile.time_left;
-        if lock(&self.suspects).is_blocked(now, &inbound.fingerprint) {
-            let error = Error::new(
-                Code::RequestBlocked,
-                "it was running at several crashes of upstreams",
-            );
-            self.record_failure(&inbound, &Attempts::default(), &error);
-            return blocked_response(&id, &error);
-        }
         match send::serve(&self, inbound).await {
             Ok(response) => response,
             Err(error) => failure_response(&id, &error, Some(patience)),
@@ -699,6 +672,7 @@
         let metrics = self.node.metrics();
         metrics.set(Metric::TableRevision, version);
         metrics.set(Metric::UpstreamOpen, open as u64);
+        metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
         metrics.text()
@@ -765,7 +739,12 @@
 /// Callers take 408, 421, 429 and 503 as a promise that the request was not run, so
 /// these become 502 unless that is certain.
 fn failure_response(id: &str, error: &Error, patience: Option<f64>) -> Response<BoxBody> {
-    let status = StatusCode::from_u16(error.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    // Callers here take no other status for a request that was not run.
+    let status = match error.code {
+        Code::RequestBlocked => 503,
+        code => code.status(),
+    };
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let means_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     let status = if means_not_run && error.run != Run::NotRun {
         StatusCode::BAD_GATEWAY
@@ -795,12 +774,3 @@
     let most = patience.map_or(f64::INFINITY, |p| p * MAX_RETRY_SHARE);
     Millis((least * (1.0 + fastrand::f64())).min(most) as u64)
 }
-
-/// Returns the response for a request that is blocked because it was running at
-/// crashes of upstreams.
-fn blocked_response(id: &str, error: &Error) -> Response<BoxBody> {
-    let mut response = Response::new(body::full(format!("{error}\n")));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    *response.headers_mut() = headers::failure_headers(id, None);
-    response
-}
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -8,18 +8,14 @@
 use crate::direct::wire::SuspectDoc;
 use crate::prelude::*;
 use crate::route::placement::RunnerStatus;
-use crate::util;
 use crate::util::lock;
 
-/// Most suspects in one datagram.
-const MAX_SUSPECTS: usize = 16;
-
 /// Adds the state of the entry to a datagram. Loads and refusals are only for
 /// entries of the zone (`near`), which share its callers and prefer its upstreams.
 pub fn add_state(entry: &Entry, now: Millis, datagram: &mut Datagram, near: bool) {
-    let reports = lock(&entry.suspects).export(now);
-    let reports = reports.iter().take(MAX_SUSPECTS);
-    datagram.suspects = reports.map(SuspectDoc::new).collect();
+    let reports = entry.crashes.export(now);
+    let reports = reports.iter();
+    datagram.suspects = reports.map(|r| SuspectDoc::new(now, r)).collect();
     if !near {
         return;
     }
@@ -52,11 +48,14 @@
     for refused in &datagram.refused {
         lock(&entry.refusals).merge(now, refused.to_refusal(now));
     }
-    let origin = util::stable_hash([datagram.name.as_str()]);
-    let reports = datagram.suspects.iter().filter_map(SuspectDoc::to_report);
-    for report in reports {
-        lock(&entry.suspects).merge(now, origin, report);
+    if let Some(end) = &datagram.ended {
+        let at = now.since(Millis(u64::from(end.age)));
+        entry
+            .crashes
+            .record_end(now, at, &end.upstream, &datagram.name);
     }
+    let reports = datagram.suspects.iter().map(|doc| doc.to_report(now));
+    entry.crashes.merge(now, reports, &datagram.name);
 }
 
 /// Decodes the status of a runner, with its times by the own clock.
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -400,6 +400,11 @@
             .as_ref()
             .map(|s| (s.busy, s.holdings.clone(), s.complete))
     };
-    let count = |d: &Datagram| d.suspects.iter().map(|s| s.crashes + s.clears).sum::<u32>();
+    // Ages grow all the time, so crashes are counted.
+    let count = |d: &Datagram| {
+        let suspects = d.suspects.iter();
+        let seen = suspects.map(|s| s.crashes.len() + usize::from(s.answered.is_some()));
+        seen.sum::<usize>() + usize::from(d.ended.is_some())
+    };
     count(last) != count(current) || key(last) != key(current)
 }
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::direct::entry::Entry;
+use crate::gate::Signatures;
 use crate::gate::suspect;
 use crate::net::body;
 use crate::once::Fingerprint;
@@ -53,6 +54,8 @@
     pub profile: RequestProfile,
     /// Hash that identifies the request over its attempts and entries.
     pub fingerprint: Fingerprint,
+    /// What it has in common with other requests that may crash upstreams.
+    pub signatures: Signatures,
     /// Time that the caller lost at earlier attempts which were refused.
     pub time_lost: Millis,
 }
@@ -96,9 +99,12 @@
     let fingerprint = suspect::fingerprint(owner, parts.method.as_str(), &target, &body);
     let time_lost = entry.time_lost(&fingerprint, arrived, call.time_left);
     let profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    let shared = call.shared_parts.iter().map(String::as_str);
+    let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
         profile,
         fingerprint,
+        signatures,
         call,
         route,
         organisation,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 pub mod cluster;
+pub mod crash_guard;
 pub mod decision_log;
 pub mod entry;
 pub mod entry_gossip;
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -260,6 +260,11 @@
             "no time is left",
         )));
     }
+    let is_repeat = attempts.runs > 0;
+    entry
+        .crashes
+        .check(now, &inbound.signatures, is_repeat)
+        .map_err(mark_run)?;
     let mut profile = inbound.profile.clone();
     let spent = now.since(inbound.arrived).0 as f64;
     profile.slack_ms = profile.slack_ms.map(|s| s - spent).filter(|s| *s > 0.0);
@@ -366,8 +371,15 @@
     };
     let overdue = wait_until_overdue(entry, inbound, target, now.plus(Millis(limit as u64)));
     let exchange = exchange(entry, inbound, &client, request, target, &mut call);
-    let overdue = async { Err(overdue.await) };
-    match exchange.or(overdue).await {
+    let waiting = entry.crashes.watch(&inbound.signatures);
+    // An upstream that is given up has not ended.
+    let mut is_lost = true;
+    let given_up = async {
+        let error = overdue.or(waiting.until_blocked()).await;
+        is_lost = false;
+        Err(error)
+    };
+    match exchange.or(given_up).await {
         Ok(Received::Answer(answer)) => {
             if matches!(answer.content, ReadContent::Whole(_)) {
                 call.set_outcome(Outcome::Done);
@@ -388,11 +400,16 @@
         }
         Err(error) if error.run == Run::NotRun => {
             call.set_outcome(Outcome::Refused);
+            if error.code == Code::ConnectionRefused {
+                entry.record_refused(target);
+            }
             SendOutcome::Unsent(error)
         }
         Err(error) => {
             call.set_outcome(Outcome::Failed);
-            entry.record_lost(inbound, target, call.progress());
+            if is_lost {
+                entry.record_lost(inbound, target, call.progress());
+            }
             SendOutcome::Unknown(error)
         }
     }
@@ -558,7 +575,7 @@
         let mut body = response.into_body();
         let mut framer = Framer::default();
         let events = first_events(&mut body, &mut framer).await?;
-        call.record_first();
+        call.record_first(&inbound.signatures);
         entry.record_version(inbound, target, reply.version);
         let content = ReadContent::Stream {
             body,
@@ -582,7 +599,7 @@
         .map_err(|e| lost(e.detail))?;
     client.give_back(kept);
     forwarded.remove(header::CONTENT_LENGTH);
-    call.record_first();
+    call.record_first(&inbound.signatures);
     if status.is_server_error() {
         let mut response = Response::new(body::full(bytes));
         *response.status_mut() = status;
--- a/src/direct/updater.rs
+++ b/src/direct/updater.rs
@@ -92,6 +92,10 @@
 struct Progress {
     /// Last report of the runner and its time; none while it does not answer.
     report: Option<(Millis, Report)>,
+    /// When connections to the runner were last refused after it had answered, and its id.
+    ended: Option<(Millis, String)>,
+    /// True from the runner's last answer until connections to it are refused.
+    is_up: bool,
     /// Pieces of the newest version whose digests have been read.
     newest: Option<Pieces>,
     /// Pieces of the version before, which are pulled while the newest is stuck.
@@ -201,6 +205,14 @@
         lock(&self.progress).report.clone()
     }
 
+    /// Returns when the runner last ended and its id, if that was shortly before.
+    pub fn last_end(&self, now: Millis) -> Option<(Millis, String)> {
+        /// Time for which other processes are told of the end.
+        const SPAN: Millis = Millis(1_500);
+        let ended = lock(&self.progress).ended.clone();
+        ended.filter(|(at, _)| now.since(*at) < SPAN)
+    }
+
     /// Returns the model that the runner is to hold and its number of layers.
     pub fn model(&self) -> Option<(String, u32)> {
         let settings = self.node.settings();
@@ -253,6 +265,7 @@
     async fn read_report(&self) {
         let report = self.runner.report().await;
         let now = self.node.now();
+        let id = self.runner_id().unwrap_or_default();
         let mut progress = lock(&self.progress);
         match report {
             Ok(report) => {
@@ -263,8 +276,13 @@
                     progress.stage_checked = false;
                 }
                 progress.report = Some((now, report));
+                progress.is_up = true;
             }
             Err(error) => {
+                if error.code == Code::ConnectionRefused && progress.is_up {
+                    progress.is_up = false;
+                    progress.ended = Some((now, id));
+                }
                 if progress.report.take().is_some() {
                     info!(self.node.log().logger(), "load: runner does not answer"; &error);
                 }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -4,9 +4,9 @@
 //! Clocks of VMs differ, so messages state ages and times left instead of points
 //! in time.
 
-use crate::gate::suspect::CrashReport;
+use crate::gate::crash_table::Crash;
+use crate::gate::crash_table::Report;
 use crate::member::registry::Holding;
-use crate::once::Fingerprint;
 use crate::prelude::*;
 use crate::retry::Refusal;
 use crate::rollout::manifest::Digest;
@@ -46,9 +46,6 @@
     /// Other processes that the sender knows.
     #[prost(message, repeated, tag = "10")]
     pub peers: Vec<PeerDoc>,
-    /// Requests that are suspected of crashing upstreams, by the sender's counts.
-    #[prost(message, repeated, tag = "11")]
-    pub suspects: Vec<SuspectDoc>,
     /// True when the sender asks for a datagram in return.
     #[prost(bool, tag = "12")]
     pub hello: bool,
@@ -77,6 +74,12 @@
     /// Revision that a replica must have reached for `changes` to complete it.
     #[prost(uint64, tag = "19")]
     pub since: u64,
+    /// What the sender has seen of requests that may crash upstreams.
+    #[prost(message, repeated, tag = "20")]
+    pub suspects: Vec<SuspectDoc>,
+    /// The end of an agent's runner; none unless it has ended shortly before.
+    #[prost(message, optional, tag = "21")]
+    pub ended: Option<EndDoc>,
 }
 
 impl Datagram {
@@ -191,22 +194,49 @@
     pub ip: String,
 }
 
-/// Crashes that one process has counted for a request.
+/// The end of a runner's process.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndDoc {
+    /// Id of the runner's incarnation.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Time since it was noticed, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
+}
+
+/// What one process has seen of a signature of requests that may crash upstreams.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SuspectDoc {
-    /// Fingerprint of the request.
-    #[prost(bytes = "vec", tag = "1")]
-    pub print: Vec<u8>,
-    /// Number of times that the sender reset its count because the request
-    /// was answered.
+    /// The signature.
+    #[prost(fixed64, tag = "1")]
+    pub signature: u64,
+    /// True for a part of prompts, false for a whole request.
+    #[prost(bool, tag = "2")]
+    pub part: bool,
+    /// Crashes that the sender has noticed.
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: Vec<CrashDoc>,
+    /// Time since the last event of an answer, in milliseconds; none when there was none.
+    #[prost(uint32, optional, tag = "4")]
+    pub answered: Option<u32>,
+    /// Crashes that the sender has heard of, when the signature is blocked.
+    #[prost(message, repeated, tag = "5")]
+    pub heard: Vec<CrashDoc>,
+}
+
+/// A crash of an upstream.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct CrashDoc {
+    /// Hash of the upstream's id.
+    #[prost(fixed64, tag = "1")]
+    pub upstream: u64,
+    /// Time since it was noticed, in milliseconds.
     #[prost(uint32, tag = "2")]
-    pub clears: u32,
-    /// Crashes since the last reset.
+    pub age: u32,
+    /// How much it counts.
     #[prost(uint32, tag = "3")]
-    pub crashes: u32,
-    /// Time since the last change, in milliseconds.
-    #[prost(uint64, tag = "4")]
-    pub age: u64,
+    pub points: u32,
 }
 
 /// Changes of the replica after a revision.
@@ -394,25 +424,49 @@
     }
 }
 
+impl CrashDoc {
+    /// Encodes a crash, with its time relative to `now`.
+    fn new(now: Millis, crash: &Crash) -> CrashDoc {
+        CrashDoc {
+            upstream: crash.upstream,
+            age: now.since(crash.at).0 as u32,
+            points: crash.points,
+        }
+    }
+
+    /// Returns the crash, with its time by the receiver's clock.
+    fn to_crash(self, now: Millis) -> Crash {
+        Crash {
+            upstream: self.upstream,
+            at: now.since(Millis(u64::from(self.age))),
+            points: self.points,
+        }
+    }
+}
+
 impl SuspectDoc {
-    /// Encodes the counts of a request.
-    pub fn new(report: &CrashReport) -> SuspectDoc {
+    /// Encodes what was seen of a signature, with its times relative to `now`.
+    pub fn new(now: Millis, report: &Report) -> SuspectDoc {
+        let docs = |crashes: &[Crash]| crashes.iter().map(|c| CrashDoc::new(now, c)).collect();
         SuspectDoc {
-            print: report.fingerprint.to_vec(),
-            clears: report.clears,
-            crashes: report.crashes,
-            age: report.age.0,
+            signature: report.signature,
+            part: report.is_part,
+            crashes: docs(&report.crashes),
+            answered: report.answered.map(|at| now.since(at).0 as u32),
+            heard: docs(&report.heard),
         }
     }
 
-    /// Returns the counts; none when the fingerprint has a wrong length.
-    pub fn to_report(&self) -> Option<CrashReport> {
-        Some(CrashReport {
-            fingerprint: Fingerprint::try_from(self.print.as_slice()).ok()?,
-            clears: self.clears,
-            crashes: self.crashes,
-            age: Millis(self.age),
-        })
+    /// Returns what was seen, with its times by the receiver's clock.
+    pub fn to_report(&self, now: Millis) -> Report {
+        let crashes = |docs: &[CrashDoc]| docs.iter().map(|doc| doc.to_crash(now)).collect();
+        Report {
+            signature: self.signature,
+            is_part: self.part,
+            crashes: crashes(&self.crashes),
+            heard: crashes(&self.heard),
+            answered: self.answered.map(|age| now.since(Millis(u64::from(age)))),
+        }
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -99,6 +99,7 @@
     ProtocolInvalid = 5003, 502, "message of another process is invalid";
     EngineUnavailable = 5004, 502, "engine cannot be reached";
     Internal = 5005, 500, "unexpected state";
+    ConnectionRefused = 5006, 502, "no process listens at the address";
     ScenarioFailed = 6001, 500, "scenario's expectation does not hold";
     PromiseBroken = 6002, 500, "invariant does not hold";
     BenchFailed = 6003, 500, "benchmark could not be run";
--- a/src/gate/crash.rs
+++ b/src/gate/crash.rs
@@ -3,11 +3,10 @@
 
 use std::collections::VecDeque;
 
-use crate::once::Fingerprint;
 use crate::prelude::*;
 
 /// Longest time between the loss of a request and the end of its upstream for which the
-/// request is taken to have run at the crash.
+/// request is taken to have been there at the crash.
 const RELATED_TIME: Millis = Millis(1_500);
 
 /// Number of requests lost at one upstream within [`CRASH_WINDOW`] that shows a crash.
@@ -19,65 +18,87 @@
 /// Most lost requests that are remembered.
 const MAX_LOSSES: usize = 512;
 
+/// Most upstreams whose end is remembered.
+const MAX_ENDS: usize = 512;
+
 /// A request whose upstream ended the connection.
 #[derive(Clone, Debug)]
-struct Loss {
+struct Loss<T> {
     at: Millis,
     upstream: String,
-    fingerprint: Fingerprint,
-    attempt: u64,
+    request: T,
+}
+
+/// Remembers the requests that were lost, and the upstreams that ended, during the last
+/// 1.5 s. `T` describes a request.
+#[derive(Clone, Debug)]
+pub struct CrashDetector<T> {
+    losses: VecDeque<Loss<T>>,
+    /// When upstreams ended, by id.
+    ends: IndexMap<String, Millis>,
 }
 
-/// Remembers the requests that were lost during the last 1.5 s.
-#[derive(Clone, Debug, Default)]
-pub struct CrashDetector {
-    losses: VecDeque<Loss>,
+impl<T> Default for CrashDetector<T> {
+    fn default() -> Self {
+        CrashDetector {
+            losses: VecDeque::new(),
+            ends: IndexMap::new(),
+        }
+    }
 }
 
-impl CrashDetector {
+impl<T> CrashDetector<T> {
     /// Records that an upstream ended the connection of a request.
     ///
-    /// Returns the fingerprints and attempts that ran there, when enough of them were lost
-    /// at once to show a crash.
-    pub fn record_loss(
-        &mut self,
-        now: Millis,
-        upstream: &str,
-        fingerprint: Fingerprint,
-        attempt: u64,
-    ) -> Vec<(Fingerprint, u64)> {
+    /// Returns the requests that were there at a crash: all that were lost there, when
+    /// enough of them were lost at once to show a crash, or this one, when the upstream is
+    /// known to have ended.
+    ///
+    /// If most of the requests that were lost at that time were at other upstreams, the
+    /// connections of this process were reset, and no upstream has crashed.
+    pub fn record_loss(&mut self, now: Millis, upstream: &str, request: T) -> Vec<T> {
         self.losses.retain(|l| now.since(l.at) < RELATED_TIME);
         if self.losses.len() >= MAX_LOSSES {
             self.losses.pop_front();
         }
+        let end = self.ends.get(upstream);
+        if end.is_some_and(|at| now.since(*at) < RELATED_TIME) {
+            return vec![request];
+        }
         self.losses.push_back(Loss {
             at: now,
             upstream: upstream.to_string(),
-            fingerprint,
-            attempt,
+            request,
         });
-        let same_upstream = self.losses.iter().filter(|l| l.upstream == upstream);
-        let count = same_upstream
-            .filter(|l| now.since(l.at) < CRASH_WINDOW)
-            .count();
-        if count >= CRASH_LOSSES {
-            self.record_end(now, upstream)
+        let latest = self.losses.iter();
+        let latest = latest.filter(|l| now.since(l.at) < CRASH_WINDOW);
+        let (here, elsewhere): (Vec<_>, Vec<_>) = latest.partition(|l| l.upstream == upstream);
+        if here.len() >= CRASH_LOSSES && here.len() > elsewhere.len() {
+            self.record_end(now, now, upstream)
         } else {
             Vec::new()
         }
     }
 
-    /// Records that an upstream has ended; returns the fingerprints and attempts that it
-    /// ran just before.
-    pub fn record_end(&mut self, now: Millis, upstream: &str) -> Vec<(Fingerprint, u64)> {
-        let mut crashed = Vec::new();
-        self.losses.retain(|l| {
-            let is_related = l.upstream == upstream && now.since(l.at) < RELATED_TIME;
-            if is_related {
-                crashed.push((l.fingerprint, l.attempt));
+    /// Records that an upstream has ended at the time `at`; returns the requests that were
+    /// lost there shortly before and have not been returned yet.
+    pub fn record_end(&mut self, now: Millis, at: Millis, upstream: &str) -> Vec<T> {
+        self.ends.retain(|_, at| now.since(*at) < RELATED_TIME);
+        if now.since(at) >= RELATED_TIME {
+            return Vec::new();
+        }
+        if self.ends.len() < MAX_ENDS {
+            self.ends.entry(upstream.to_string()).or_insert(at);
+        }
+        let (mut crashed, mut kept) = (Vec::new(), VecDeque::new());
+        for loss in self.losses.drain(..) {
+            if loss.upstream == upstream && now.since(loss.at) < RELATED_TIME {
+                crashed.push(loss.request);
+            } else {
+                kept.push_back(loss);
             }
-            !is_related
-        });
+        }
+        self.losses = kept;
         crashed
     }
 }
--- /dev/null
+++ b/src/gate/crash_table.rs
@@ -0,0 +1,459 @@
+//! Signatures of requests that crash upstreams.
+//!
+//! It is made for requests that come again and again, at any entry, and crash each
+//! upstream that begins to answer them. They may be repeats of one request, or all
+//! different and share one part of their prompt. So a request has several signatures:
+//! one for all of it, and one for each part that other requests may have as well.
+//!
+//! An upstream that has sent an event of an answer has begun it without a crash. So a
+//! crash counts against the signatures of requests that were lost without an event, and
+//! an event clears the signatures of its request. What remains with several crashes and
+//! no event since is blocked.
+//!
+//! Each process tells its peers the crashes and events that it has seen itself, and those
+//! that it has heard of for a blocked signature. Reports are sets of crashes and a time, so
+//! that repeated, late or reordered ones change nothing.
+
+use crate::prelude::*;
+use crate::util;
+
+/// Points of crashes from which a whole request is blocked: two crashes at which an
+/// upstream had begun to answer it.
+const REQUEST_LIMIT: u32 = 4;
+
+/// Points of crashes from which a part of prompts is blocked. It takes one crash more, as a
+/// blocked part concerns many requests.
+const PART_LIMIT: u32 = 6;
+
+/// Points of a part from which a lost request that has it is not sent again.
+const REPEAT_LIMIT: u32 = 4;
+
+/// Points of a crash when the upstream had sent the head of an answer and no event. An
+/// upstream sends the head when it begins to answer.
+const BEGUN_POINTS: u32 = 2;
+
+/// Points of a crash when the upstream had sent nothing, or when requests with the same
+/// signature were answered shortly before.
+const WEAK_POINTS: u32 = 1;
+
+/// Time within which crashes of several upstreams count as one. Many upstreams that are
+/// lost at once have another cause than the requests that ran there.
+const EPISODE_TIME: Millis = Millis(120);
+
+/// Largest difference of the times that processes state for one crash of an upstream.
+/// An upstream takes longer than this to start again.
+const SAME_CRASH_TIME: Millis = Millis(1_000);
+
+/// Time without a crash after which a signature that is not blocked is forgotten.
+const SUSPECT_EXPIRY: Millis = Millis(60_000);
+
+/// Time after the last crash for which a signature stays blocked, with the least number of
+/// crashes. After it, one request at one entry shows whether the signature still crashes
+/// upstreams; each crash more makes the time four times as long.
+const BLOCK_TIME: Millis = Millis(30_000);
+
+/// Longest time of a block; after it, the signature is forgotten.
+const MAX_BLOCK_TIME: Millis = Millis(10 * 60_000);
+
+/// Time in which the request that tests a blocked signature is expected to begin.
+const TEST_TIME: Millis = Millis(10_000);
+
+/// Time for which an answer shows that a signature is probably sound.
+const SOUND_TIME: Millis = Millis(60_000);
+
+/// Most signatures whose last answer is remembered.
+const MAX_SOUND: usize = 4_096;
+
+/// Most signatures with crashes.
+const MAX_SUSPECTS: usize = 1_024;
+
+/// Most crashes that are held for one signature, the latest ones.
+const MAX_CRASHES: usize = 8;
+
+/// Most signatures in one report to peers.
+pub const MAX_REPORTED: usize = 16;
+
+common! { value
+/// Signatures of one request.
+#[derive(Default)]
+pub struct Signatures {
+    /// Of the whole request, the same for its repeats.
+    pub request: u64,
+    /// Of each part of its prompt that other requests may have.
+    pub parts: Vec<u64>,
+}
+}
+
+impl Signatures {
+    /// Computes the signatures of a request from its fingerprint and the ids of the parts
+    /// of its prompt, which name the same content within `pool`.
+    pub fn new<'a>(
+        fingerprint: &[u8; 32],
+        pool: &str,
+        parts: impl IntoIterator<Item = &'a str>,
+    ) -> Signatures {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&fingerprint[..8]);
+        let parts = parts.into_iter();
+        Signatures {
+            request: u64::from_be_bytes(bytes),
+            parts: parts.map(|id| util::stable_hash([pool, id])).collect(),
+        }
+    }
+
+    fn all(&self) -> impl Iterator<Item = u64> + '_ {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+}
+
+common! { key
+/// A crash of an upstream, counted against a signature.
+pub struct Crash {
+    /// Hash of the upstream's id.
+    pub upstream: u64,
+    /// When it was noticed.
+    pub at: Millis,
+    /// How much it counts.
+    pub points: u32,
+}
+}
+
+common! { value
+/// What one process has seen of a signature.
+pub struct Report {
+    /// The signature.
+    pub signature: u64,
+    /// True for a part of prompts, false for a whole request.
+    pub is_part: bool,
+    /// Crashes that it has noticed, the earliest first.
+    pub crashes: Vec<Crash>,
+    /// Crashes that it has heard of, when the signature is blocked. Processes that have
+    /// started since then learn of the block from them.
+    pub heard: Vec<Crash>,
+    /// When an upstream last sent an event of an answer; none when that is not known.
+    pub answered: Option<Millis>,
+}
+}
+
+common! { key
+/// What to do with a request.
+pub enum Verdict {
+    /// It may be sent.
+    Pass,
+    /// It may be sent, and shows whether the blocked signature still crashes upstreams.
+    Test(u64),
+    /// It is not to be sent because of this signature.
+    Block(u64),
+}
+}
+
+/// Crashes counted against one signature.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// True for a part of prompts, false for a whole request.
+    is_part: bool,
+    /// Crashes, and whether this process has seen them itself.
+    crashes: Vec<(Crash, bool)>,
+    /// Last answer that this process has seen since the first crash.
+    own_answered: Option<Millis>,
+    /// Last answer known.
+    answered: Option<Millis>,
+    /// When a request was last sent to test it.
+    tested_at: Option<Millis>,
+}
+
+impl Suspect {
+    /// Crashes after the last answer.
+    fn pending(&self) -> impl Iterator<Item = Crash> + '_ {
+        let crashes = self.crashes.iter().map(|(crash, _)| *crash);
+        crashes.filter(|crash| self.answered.is_none_or(|at| crash.at > at))
+    }
+
+    /// Returns the sum of the points after the last answer. Crashes at about the same time
+    /// count once.
+    fn points(&self) -> u32 {
+        let mut episodes: Vec<(Millis, u32)> = Vec::new();
+        for crash in self.pending() {
+            match episodes.last_mut() {
+                Some((start, most)) if crash.at.since(*start) <= EPISODE_TIME => {
+                    *most = (*most).max(crash.points);
+                }
+                _ => episodes.push((crash.at, crash.points)),
+            }
+        }
+        episodes.iter().map(|(_, points)| points).sum()
+    }
+
+    /// Returns the crashes that this process has seen itself, or the others.
+    fn held(&self, is_own: bool) -> Vec<Crash> {
+        let held = self.crashes.iter().filter(|(_, own)| *own == is_own);
+        held.map(|(crash, _)| *crash).collect()
+    }
+
+    fn limit(&self) -> u32 {
+        if self.is_part {
+            PART_LIMIT
+        } else {
+            REQUEST_LIMIT
+        }
+    }
+
+    fn is_blocked(&self) -> bool {
+        self.points() >= self.limit()
+    }
+
+    fn last_crash(&self) -> Millis {
+        let times = self.crashes.iter().map(|(crash, _)| crash.at);
+        times.max().unwrap_or_default()
+    }
+
+    /// Time after the last crash for which no request tests the signature.
+    fn block_time(&self) -> Millis {
+        let excess = self.points().saturating_sub(self.limit()) / BEGUN_POINTS;
+        Millis(BLOCK_TIME.0 << (2 * excess.min(8))).min(MAX_BLOCK_TIME)
+    }
+
+    fn is_expired(&self, now: Millis) -> bool {
+        let span = if self.is_blocked() {
+            MAX_BLOCK_TIME
+        } else {
+            SUSPECT_EXPIRY
+        };
+        now.since(self.last_crash()) >= span
+    }
+
+    /// Adds a crash, or raises the points of the same crash.
+    fn add(&mut self, crash: Crash, is_own: bool) {
+        let is_same = |held: &Crash| {
+            let gap = held.at.since(crash.at).max(crash.at.since(held.at));
+            held.upstream == crash.upstream && gap < SAME_CRASH_TIME
+        };
+        if let Some((held, own)) = self.crashes.iter_mut().find(|(held, _)| is_same(held)) {
+            held.points = held.points.max(crash.points);
+            *own |= is_own;
+            return;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push((crash, is_own));
+        self.crashes.sort_by_key(|(crash, _)| crash.at);
+    }
+
+    fn add_answer(&mut self, at: Millis) {
+        self.answered = self.answered.max(Some(at));
+    }
+}
+
+/// Signatures with crashes, as one process knows them.
+#[derive(Clone, Debug, Default)]
+pub struct CrashTable {
+    suspects: IndexMap<u64, Suspect>,
+    /// Last answer to a request with this part in its prompt.
+    sound: IndexMap<u64, Millis>,
+}
+
+impl CrashTable {
+    /// Number of signatures with crashes.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// True when no signature has crashes.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Number of signatures that are blocked.
+    pub fn blocked(&self) -> usize {
+        let blocked = self.suspects.values().filter(|s| s.is_blocked());
+        blocked.count()
+    }
+
+    /// Points that count against a signature now.
+    pub fn points(&self, now: Millis, signature: u64) -> u32 {
+        let held = self.suspects.get(&signature);
+        held.filter(|s| !s.is_expired(now))
+            .map_or(0, Suspect::points)
+    }
+
+    /// Counts a crash against a request that was lost without an event; `has_head` tells
+    /// whether the upstream had sent the head of an answer.
+    ///
+    /// Returns the signatures that this blocks.
+    pub fn record_crash(
+        &mut self,
+        now: Millis,
+        upstream: u64,
+        request: &Signatures,
+        has_head: bool,
+    ) -> Vec<u64> {
+        let mut blocked = Vec::new();
+        for signature in request.all() {
+            let was_sound = self
+                .sound
+                .get(&signature)
+                .is_some_and(|at| now.since(*at) < SOUND_TIME);
+            let points = if has_head && !was_sound {
+                BEGUN_POINTS
+            } else {
+                WEAK_POINTS
+            };
+            let crash = Crash {
+                upstream,
+                at: now,
+                points,
+            };
+            let suspect = self.suspect(now, signature);
+            let was_blocked = suspect.is_blocked();
+            suspect.is_part |= signature != request.request;
+            suspect.add(crash, true);
+            if !was_blocked && suspect.is_blocked() {
+                blocked.push(signature);
+            }
+        }
+        blocked
+    }
+
+    /// Clears the signatures of a request of whose answer an event has arrived.
+    pub fn record_answer(&mut self, now: Millis, request: &Signatures) {
+        for signature in request.all() {
+            if let Some(suspect) = self.suspects.get_mut(&signature)
+                && suspect.points() > 0
+            {
+                suspect.own_answered = Some(now);
+                suspect.add_answer(now);
+            }
+        }
+        for part in &request.parts {
+            self.remember_sound(now, *part);
+        }
+    }
+
+    fn remember_sound(&mut self, now: Millis, part: u64) {
+        if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&part) {
+            self.sound.retain(|_, at| now.since(*at) < SOUND_TIME);
+            if self.sound.len() >= MAX_SOUND {
+                self.sound.swap_remove_index(0);
+            }
+        }
+        self.sound.insert(part, now);
+    }
+
+    /// Merges what a peer has seen. Returns true when this blocks the signature.
+    pub fn merge(&mut self, now: Millis, report: &Report) -> bool {
+        let suspect = self.suspect(now, report.signature);
+        let was_blocked = suspect.is_blocked();
+        suspect.is_part |= report.is_part;
+        for crash in report.crashes.iter().chain(&report.heard) {
+            let points = crash.points.min(BEGUN_POINTS);
+            suspect.add(Crash { points, ..*crash }, false);
+        }
+        if let Some(at) = report.answered {
+            suspect.add_answer(at);
+        }
+        !was_blocked && suspect.is_blocked()
+    }
+
+    /// Decides about a request before it is sent; `is_repeat` tells that an upstream was
+    /// lost under it before. A blocked signature is tested only by a process that
+    /// `may_test` it.
+    pub fn verdict(
+        &mut self,
+        now: Millis,
+        request: &Signatures,
+        is_repeat: bool,
+        may_test: impl Fn(u64) -> bool,
+    ) -> Verdict {
+        let mut verdict = Verdict::Pass;
+        for signature in request.all() {
+            let Some(suspect) = self.suspects.get_mut(&signature) else {
+                continue;
+            };
+            if suspect.is_expired(now) {
+                continue;
+            }
+            if !suspect.is_blocked() {
+                if is_repeat && suspect.points() >= REPEAT_LIMIT {
+                    return Verdict::Block(signature);
+                }
+                continue;
+            }
+            let is_due = now.since(suspect.last_crash()) >= suspect.block_time();
+            let is_tested = suspect
+                .tested_at
+                .is_some_and(|at| now.since(at) < TEST_TIME);
+            if is_repeat || !is_due || is_tested || !may_test(signature) {
+                return Verdict::Block(signature);
+            }
+            verdict = Verdict::Test(signature);
+        }
+        if let Verdict::Test(signature) = verdict
+            && let Some(suspect) = self.suspects.get_mut(&signature)
+        {
+            suspect.tested_at = Some(now);
+        }
+        verdict
+    }
+
+    /// Returns true when a signature of the request is blocked, whatever tests it.
+    pub fn is_blocked(&self, now: Millis, request: &Signatures) -> bool {
+        let mut held = request.all().filter_map(|s| self.suspects.get(&s));
+        held.any(|suspect| !suspect.is_expired(now) && suspect.is_blocked())
+    }
+
+    /// Returns what peers are told, with the signatures with the most points first.
+    pub fn export(&self, now: Millis) -> Vec<Report> {
+        let live = self.suspects.iter().filter(|(_, s)| !s.is_expired(now));
+        let own = live.map(|(signature, suspect)| {
+            let report = Report {
+                signature: *signature,
+                is_part: suspect.is_part,
+                crashes: suspect.held(true),
+                heard: if suspect.is_blocked() {
+                    suspect.held(false)
+                } else {
+                    Vec::new()
+                },
+                answered: suspect.own_answered,
+            };
+            let changed = suspect.own_answered.max(Some(suspect.last_crash()));
+            ((suspect.points(), changed), report)
+        });
+        let mut own: Vec<_> = own
+            .filter(|(_, r)| !r.crashes.is_empty() || !r.heard.is_empty() || r.answered.is_some())
+            .collect();
+        own.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        own.truncate(MAX_REPORTED);
+        own.into_iter().map(|(_, report)| report).collect()
+    }
+
+    /// Forgets expired signatures.
+    pub fn tick(&mut self, now: Millis) {
+        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
+    }
+
+    /// Returns the entry of a signature; adds it, and removes the one with the fewest
+    /// points if there are too many.
+    fn suspect(&mut self, now: Millis, signature: u64) -> &mut Suspect {
+        if self
+            .suspects
+            .get(&signature)
+            .is_some_and(|s| s.is_expired(now))
+        {
+            self.suspects.swap_remove(&signature);
+        }
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&signature) {
+            self.tick(now);
+            let least = |s: &Suspect| (s.points(), s.last_crash());
+            let weakest = self.suspects.iter().min_by_key(|(_, s)| least(s));
+            if self.suspects.len() >= MAX_SUSPECTS
+                && let Some(weakest) = weakest.map(|(signature, _)| *signature)
+            {
+                self.suspects.swap_remove(&weakest);
+            }
+        }
+        assert!(self.suspects.len() <= MAX_SUSPECTS, "too many signatures");
+        self.suspects.entry(signature).or_default()
+    }
+}
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod crash;
+pub mod crash_table;
 pub mod drain;
 pub mod suspect;
 
@@ -10,6 +11,8 @@
 pub use admit::OwnPool;
 pub use admit::Permit;
 pub use crash::CrashDetector;
+pub use crash_table::CrashTable;
+pub use crash_table::Signatures;
 pub use drain::Drain;
 pub use drain::Reason;
 pub use suspect::Suspects;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -241,11 +241,21 @@
     let stream = connecting
         .or(timed_out)
         .await
-        .map_err(|e| Error::new(Code::EngineUnavailable, format!("{addr}: {e}")))?;
+        .map_err(|e| Error::new(connect_code(&e), format!("{addr}: {e}")))?;
     set_socket_options(stream.get_ref());
     Ok(stream)
 }
 
+/// Returns the code of a connection that cannot be opened. One that is refused shows that
+/// the process at the address has ended, one that times out does not.
+fn connect_code(error: &std::io::Error) -> Code {
+    if error.kind() == std::io::ErrorKind::ConnectionRefused {
+        Code::ConnectionRefused
+    } else {
+        Code::EngineUnavailable
+    }
+}
+
 /// Sends small writes at once, and lets the kernel close the connection when its peer
 /// no longer acknowledges anything.
 ///
--- /dev/null
+++ b/tests/crash_table.rs
@@ -0,0 +1,312 @@
+//! Requests that crash upstreams, and the parts of prompts that they share.
+
+use chervilquay::gate::CrashDetector;
+use chervilquay::gate::CrashTable;
+use chervilquay::gate::Signatures;
+use chervilquay::gate::crash_table::Crash;
+use chervilquay::gate::crash_table::MAX_REPORTED;
+use chervilquay::gate::crash_table::Report;
+use chervilquay::gate::crash_table::Verdict;
+use chervilquay::time::Millis;
+
+/// Part of prompts on which upstreams crash.
+const DEADLY: u64 = 99;
+
+/// Part that all requests of a caller have.
+const COMMON: u64 = 7;
+
+fn request(number: u64, parts: &[u64]) -> Signatures {
+    Signatures {
+        request: 1_000 + number,
+        parts: parts.to_vec(),
+    }
+}
+
+fn verdict(table: &mut CrashTable, now: u64, request: &Signatures) -> Verdict {
+    table.verdict(Millis(now), request, false, |_| false)
+}
+
+/// A table in which `DEADLY` was blocked by crashes at 0 s, 1 s and 2 s.
+fn blocked() -> CrashTable {
+    let mut table = CrashTable::default();
+    for n in 0..3 {
+        let blocked =
+            table.record_crash(Millis(n * 1_000), n, &request(n, &[COMMON, DEADLY]), true);
+        assert_eq!(blocked.contains(&DEADLY), n == 2);
+        table.record_answer(Millis(n * 1_000 + 200), &request(500 + n, &[COMMON]));
+    }
+    table
+}
+
+/// Guards against requests that are all different, but share a part on which upstreams
+/// crash, and against refusals of sound requests that share their other parts.
+#[test]
+fn shared_part_is_blocked() {
+    let mut table = blocked();
+    let now = 2_300;
+    let deadly = request(50, &[COMMON, DEADLY]);
+    assert_eq!(verdict(&mut table, now, &deadly), Verdict::Block(DEADLY));
+    let other = request(51, &[8, DEADLY]);
+    assert_eq!(verdict(&mut table, now, &other), Verdict::Block(DEADLY));
+    assert_eq!(
+        verdict(&mut table, now, &request(52, &[COMMON])),
+        Verdict::Pass
+    );
+    assert_eq!(verdict(&mut table, now, &request(53, &[])), Verdict::Pass);
+}
+
+/// Guards against a common part that is blocked beside the deadly one: it was answered
+/// shortly before, even if nothing is answered between the crashes.
+#[test]
+fn part_answered_before_is_not_blocked_first() {
+    let mut table = CrashTable::default();
+    table.record_answer(Millis(100), &request(1, &[COMMON]));
+    for n in 0..3 {
+        table.record_crash(
+            Millis(1_000 + n * 400),
+            n,
+            &request(10 + n, &[COMMON, DEADLY]),
+            true,
+        );
+    }
+    let sound = request(20, &[COMMON]);
+    assert_eq!(verdict(&mut table, 2_000, &sound), Verdict::Pass);
+    let deadly = request(21, &[DEADLY]);
+    assert_eq!(verdict(&mut table, 2_000, &deadly), Verdict::Block(DEADLY));
+}
+
+/// Guards against a part that became deadly after it had been answered.
+#[test]
+fn part_answered_long_ago_can_be_blocked() {
+    let mut table = CrashTable::default();
+    table.record_answer(Millis(100), &request(1, &[DEADLY]));
+    for n in 0..6 {
+        table.record_crash(
+            Millis(1_000 + n * 400),
+            n,
+            &request(10 + n, &[DEADLY]),
+            true,
+        );
+    }
+    let next = request(21, &[DEADLY]);
+    assert_eq!(verdict(&mut table, 4_000, &next), Verdict::Block(DEADLY));
+}
+
+/// Guards against one request that crashes each upstream that its repeats reach.
+#[test]
+fn repeated_request_is_blocked() {
+    let mut table = CrashTable::default();
+    let same = request(1, &[]);
+    assert!(table.record_crash(Millis(0), 1, &same, true).is_empty());
+    assert_eq!(verdict(&mut table, 500, &same), Verdict::Pass);
+    assert_eq!(
+        table.record_crash(Millis(900), 2, &same, true),
+        [same.request]
+    );
+    assert_eq!(
+        verdict(&mut table, 1_000, &same),
+        Verdict::Block(same.request)
+    );
+    assert_eq!(verdict(&mut table, 1_000, &request(2, &[])), Verdict::Pass);
+}
+
+/// Guards against a part that is blocked as all upstreams were lost at once, by a fault
+/// of their own, with several of its requests each time.
+#[test]
+fn upstreams_lost_together_block_no_part() {
+    let mut table = CrashTable::default();
+    for (time, crash) in [(0, 0), (5_000, 10)] {
+        for upstream in 0..9 {
+            let lost = request(crash + upstream, &[COMMON]);
+            table.record_crash(Millis(time + upstream * 10), upstream, &lost, true);
+        }
+    }
+    let next = request(50, &[COMMON]);
+    assert_eq!(verdict(&mut table, 6_000, &next), Verdict::Pass);
+}
+
+/// Guards against requests that are blocked as they waited in queues of upstreams that
+/// crashed by the requests before them.
+#[test]
+fn requests_in_queues_count_less() {
+    let mut table = CrashTable::default();
+    let waiting = request(1, &[COMMON]);
+    for n in 0..3 {
+        table.record_crash(Millis(n * 1_000), n, &waiting, false);
+    }
+    assert_eq!(verdict(&mut table, 3_000, &waiting), Verdict::Pass);
+}
+
+/// Guards against a suspected request that is sent again after it was lost.
+#[test]
+fn suspect_is_not_repeated() {
+    let mut table = CrashTable::default();
+    for n in 0..2 {
+        table.record_crash(Millis(n * 1_000), n, &request(n, &[DEADLY]), true);
+    }
+    let next = request(5, &[DEADLY]);
+    let repeat = table.verdict(Millis(1_500), &next, true, |_| true);
+    assert_eq!(repeat, Verdict::Block(DEADLY));
+    let first = table.verdict(Millis(1_500), &next, false, |_| true);
+    assert_eq!(first, Verdict::Pass);
+}
+
+/// Guards against a block that no answer can end, as no request is sent any more, and
+/// against tests of it that crash more upstreams than one each.
+#[test]
+fn block_is_tested_by_one_request() {
+    let mut table = blocked();
+    let deadly = request(50, &[DEADLY]);
+    let early = table.verdict(Millis(31_000), &deadly, false, |_| true);
+    assert_eq!(early, Verdict::Block(DEADLY));
+    let at = Millis(32_100);
+    let elsewhere = table.verdict(at, &deadly, false, |_| false);
+    assert_eq!(elsewhere, Verdict::Block(DEADLY));
+    let test = table.verdict(at, &deadly, false, |_| true);
+    assert_eq!(test, Verdict::Test(DEADLY));
+    let second = table.verdict(at, &request(51, &[DEADLY]), false, |_| true);
+    assert_eq!(second, Verdict::Block(DEADLY));
+    // The test crashes an upstream: the next one comes four times as late.
+    table.record_crash(Millis(33_000), 9, &deadly, true);
+    let later = table.verdict(Millis(33_000 + 119_000), &deadly, false, |_| true);
+    assert_eq!(later, Verdict::Block(DEADLY));
+    let due = Millis(33_000 + 120_000);
+    assert_eq!(
+        table.verdict(due, &deadly, false, |_| true),
+        Verdict::Test(DEADLY)
+    );
+    // This one is answered.
+    table.record_answer(due, &deadly);
+    assert_eq!(verdict(&mut table, due.0 + 1, &deadly), Verdict::Pass);
+}
+
+/// Guards against entries that each wait for crashes of their own, and against reports
+/// that count twice when they are late, repeated or come from several entries.
+#[test]
+fn entries_add_up_their_crashes() {
+    let mut tables = [
+        CrashTable::default(),
+        CrashTable::default(),
+        CrashTable::default(),
+    ];
+    for n in 0..3_u64 {
+        let at = Millis(n * 1_000);
+        tables[n as usize].record_crash(at, n, &request(n, &[DEADLY]), true);
+        // Another entry lost a request in the queue of the same upstream, a little later.
+        let other = (n as usize + 1) % 3;
+        let queued = request(100 + n, &[DEADLY]);
+        tables[other].record_crash(Millis(at.0 + 40), n, &queued, false);
+    }
+    let reports: Vec<Vec<Report>> = tables.iter().map(|t| t.export(Millis(2_100))).collect();
+    let mut table = CrashTable::default();
+    for reports in reports.iter().rev().chain(&reports).chain(&reports) {
+        for report in reports {
+            table.merge(Millis(2_200), report);
+        }
+    }
+    assert_eq!(table.points(Millis(2_200), DEADLY), 6);
+    let next = request(50, &[DEADLY]);
+    assert_eq!(verdict(&mut table, 2_200, &next), Verdict::Block(DEADLY));
+    // An answer at any entry clears the part everywhere.
+    tables[0].merge(Millis(2_200), &reports[1][0]);
+    tables[0].record_answer(Millis(2_300), &request(60, &[DEADLY]));
+    for report in tables[0].export(Millis(2_400)) {
+        table.merge(Millis(2_400), &report);
+    }
+    assert_eq!(verdict(&mut table, 2_400, &next), Verdict::Pass);
+}
+
+/// Guards against a block that is forgotten as the entries are restarted one after the
+/// other: each new one learns of it from those that have only heard of it.
+#[test]
+fn block_outlives_restarts_of_entries() {
+    let mut table = blocked();
+    for generation in 0..5 {
+        let now = Millis(3_000 + generation * 2_000);
+        let mut next = CrashTable::default();
+        for report in table.export(now) {
+            next.merge(Millis(now.0 + 10), &report);
+        }
+        table = next;
+    }
+    let next = request(50, &[COMMON, DEADLY]);
+    assert_eq!(verdict(&mut table, 13_000, &next), Verdict::Block(DEADLY));
+    assert_eq!(
+        verdict(&mut table, 13_000, &request(51, &[COMMON])),
+        Verdict::Pass
+    );
+}
+
+/// Guards against a report that grows, or a table that a peer fills, without bound.
+#[test]
+fn tables_and_reports_are_bounded() {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut table = CrashTable::default();
+    for n in 0..5_000_u64 {
+        let now = Millis(n * 10);
+        let parts = [rng.u64(..), rng.u64(..8)];
+        match rng.u32(..4) {
+            0 => table.record_answer(now, &request(n, &parts)),
+            1 => {
+                table.record_crash(now, rng.u64(..4), &request(n, &parts), rng.bool());
+            }
+            _ => {
+                let mut crashes = Vec::new();
+                for upstream in 0..rng.u64(..40) {
+                    crashes.push(Crash {
+                        upstream,
+                        at: Millis(rng.u64(..=now.0)),
+                        points: rng.u32(..),
+                    });
+                }
+                let report = Report {
+                    signature: rng.u64(..2_000),
+                    is_part: rng.bool(),
+                    heard: Vec::new(),
+                    crashes,
+                    answered: rng.bool().then(|| Millis(rng.u64(..=now.0))),
+                };
+                table.merge(now, &report);
+            }
+        }
+        assert!(table.len() <= 1_024);
+        let reports = table.export(now);
+        assert!(reports.len() <= MAX_REPORTED);
+        assert!(reports.iter().all(|r| r.crashes.len() + r.heard.len() <= 8));
+    }
+    table.tick(Millis(5_000 * 10 + 600_000));
+    assert!(table.is_empty(), "forgotten after the longest block");
+}
+
+/// Guards against a crash that the entry of its cause does not recognise, as it had only
+/// one request there, and its agent tells of the end before or after the loss.
+#[test]
+fn end_told_by_others_shows_a_crash() {
+    let mut detector = CrashDetector::default();
+    assert!(detector.record_loss(Millis(10), "u", 1).is_empty());
+    assert_eq!(detector.record_end(Millis(60), Millis(15), "u"), [1]);
+    assert_eq!(detector.record_loss(Millis(70), "u", 2), [2]);
+    assert!(detector.record_loss(Millis(70), "other", 3).is_empty());
+    assert!(detector.record_loss(Millis(1_600), "u", 4).is_empty());
+    // A report of an end that came late says nothing of later losses.
+    assert!(
+        detector
+            .record_end(Millis(4_000), Millis(1_000), "u")
+            .is_empty()
+    );
+    assert!(detector.record_loss(Millis(4_010), "u", 5).is_empty());
+}
+
+/// Guards against resets of the entry's own connections that count as crashes.
+#[test]
+fn losses_at_many_upstreams_are_no_crash() {
+    let mut detector = CrashDetector::default();
+    for n in 0..12 {
+        let upstream = format!("u{}", n % 4);
+        assert!(
+            detector
+                .record_loss(Millis(10 + n), &upstream, n)
+                .is_empty()
+        );
+    }
+}
