--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Logs that an upstream has named in an answer the requests a second that it takes, or
+    /// names no limit any more.
+    pub fn rate_limit(&self, now: Millis, upstream: &str, rate: Option<f64>) {
+        if self.admits(now, Kind::Belief) {
+            info!(self.logger, "member: upstream limits its requests"; "upstream" => upstream, "rate" => rate, "source" => "answer");
+        }
+    }
+
     /// Logs a change of what is known, with the revision of the replica and the
     /// `source`: `store`, `time` or the peer that it came from.
     pub fn change(&self, now: Millis, revision: u64, change: &Change, source: &str) {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -159,13 +159,13 @@
     }
 
     /// Records what the headers of an answer say of the upstream: that it is leaving,
-    /// or wants no requests for some time.
+    /// wants no requests for some time, or only some a second.
     pub fn record_headers(&self, reply: &Reply) {
-        if !reply.leaving && reply.back_off.is_none() {
-            return;
-        }
         let now = self.entry.node.now();
         let log = self.entry.node.log();
+        let rate = reply.rate_limit;
+        let upstream = self.entry.placer().on_rate_limit(self.call, rate);
+        upstream.inspect(|id| log.rate_limit(now, id, rate));
         if let Some(span) = reply.back_off {
             let upstream = self.entry.placer().on_back_off(now, self.call, span);
             upstream.inspect(|id| log.back_off(now, id, span));
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -45,6 +45,9 @@
 const ANSWER_VERSION: HeaderName = HeaderName::from_static("x-weight-versions");
 /// Any value but `0` when the runner is leaving.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests a second that the runner takes from all machines together, for as long as it
+/// says so; a decimal number.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Headers that apply to one connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -234,6 +237,9 @@
     /// Time for which a runner that refuses the request with status 503 wants no
     /// others.
     pub back_off: Option<Millis>,
+    /// Requests a second that the runner takes from all entries together; `None` when it
+    /// names no limit.
+    pub rate_limit: Option<f64>,
 }
 }
 
@@ -265,6 +271,7 @@
         back_off: (status == StatusCode::SERVICE_UNAVAILABLE)
             .then(|| retry_after(headers))
             .flatten(),
+        rate_limit: number(headers, SERVER_LIMIT).filter(|r: &f64| r.is_finite() && *r >= 0.0),
     }
 }
 
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -228,6 +228,8 @@
     recovery: Recovery,
     /// When it last answered that the request was meant for another upstream.
     misdirected_at: Option<Millis>,
+    /// Requests a second that it takes from all entries, by its latest answer.
+    rate_limit: Option<f64>,
 }
 
 common! { key
@@ -361,6 +363,7 @@
             {
                 // What the earlier incarnation did says nothing about this one.
                 target.recovery = Recovery::default();
+                target.rate_limit = None;
                 target.status = None;
             }
             target.registration = member.clone();
@@ -387,6 +390,7 @@
             slowness: (1.0, Millis(0)),
             recovery: Recovery::default(),
             misdirected_at: None,
+            rate_limit: None,
         });
         self.by_id.insert(member.id.clone(), key);
         self.by_hash.insert(id_hash, key);
@@ -440,6 +444,19 @@
         (previous.back_off_left(now) == Millis(0)).then(|| target.registration.id.clone())
     }
 
+    /// Records the requests a second that the answer to a call names as the limit of its
+    /// upstream. Returns the upstream's id when the limit has changed.
+    pub fn on_rate_limit(&mut self, key: Key<Call>, rate: Option<f64>) -> Option<String> {
+        let call = self.calls.get(key)?;
+        let target = self.targets.get_mut(call.target)?;
+        let is_changed = target.registration.started == call.started && target.rate_limit != rate;
+        if !is_changed {
+            return None;
+        }
+        target.rate_limit = rate;
+        Some(target.registration.id.clone())
+    }
+
     /// Changes the notice of the incarnation that a call was sent to, and returns
     /// the notice before the change. The registration may belong to a later
     /// incarnation by now.
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -246,3 +246,21 @@
             .is_empty()
     );
 }
+
+/// Guards against a limit of an upstream that is not read, or a value that is none.
+#[test]
+fn rate_limit_is_decoded() {
+    let limit = |value: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("server-limit", value.parse().expect("value"));
+        headers::decode_reply(StatusCode::OK, &headers).rate_limit
+    };
+    assert_eq!(limit("1.9"), Some(1.9));
+    assert_eq!(limit(" 3 "), Some(3.0));
+    assert_eq!(limit("0"), Some(0.0));
+    for value in ["", "-1", "NaN", "inf", "many"] {
+        assert_eq!(limit(value), None, "{value}");
+    }
+    let none = headers::decode_reply(StatusCode::OK, &HeaderMap::new());
+    assert_eq!(none.rate_limit, None);
+}
