--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -292,6 +292,7 @@
 pub struct Runner {
     acts: Arc<Mutex<VecDeque<Act>>>,
     requests: Arc<Mutex<Vec<Message>>>,
+    arrived_at: Arc<Mutex<Vec<Instant>>>,
     dequeued_at: Arc<Mutex<Vec<Instant>>>,
     disconnected: Arc<Mutex<Vec<String>>>,
     open_endless: Arc<AtomicUsize>,
@@ -378,6 +379,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Returns when requests arrived.
+    pub fn arrived_at(&self) -> Vec<Instant> {
+        self.arrived_at.lock().unwrap().clone()
+    }
+
     /// Returns when requests started after their wait in the queue.
     pub fn dequeued_at(&self) -> Vec<Instant> {
         self.dequeued_at.lock().unwrap().clone()
@@ -427,6 +433,7 @@
             let previous = last_id.replace(id.clone());
             let is_deadly = self.is_deadly(&request);
             self.requests.lock().unwrap().push(request);
+            self.arrived_at.lock().unwrap().push(Instant::now());
             if is_deadly {
                 stream_head(&mut stream, &id);
                 self.is_down.store(true, Ordering::Relaxed);
