route: Keep the limit that an upstream names for all entries together

Upstreams in need got up to ten times the requests that they had named as their limit.

Cause: nothing read the limit, and no part of the system kept a bound that belongs to all entries together and that no entry can keep alone.

Change: entries read the limit, tell each other when it begins or ends, and share it by the names and zones that all know (route::rate_share): parts of at least a quarter of a request a second in token buckets. What finds no place is refused at once.

--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -152,11 +152,11 @@
         }
     }
 
-    /// Logs that an upstream has named in an answer the requests a second that it takes, or
-    /// names no limit any more.
-    pub fn rate_limit(&self, now: Millis, upstream: &str, rate: Option<f64>) {
+    /// Logs the requests a second that an upstream takes from all entries, or that it names
+    /// no limit any more. `source` is an answer or the entry that has read it.
+    pub fn rate_limit(&self, now: Millis, upstream: &str, rate: Option<f64>, source: &str) {
         if self.admits(now, Kind::Belief) {
-            info!(self.logger, "member: upstream limits its requests"; "upstream" => upstream, "rate" => rate, "source" => "answer");
+            info!(self.logger, "member: upstream limits its requests"; "upstream" => upstream, "rate" => rate, "source" => source.to_string());
         }
     }
 
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -164,8 +164,8 @@
         let now = self.entry.node.now();
         let log = self.entry.node.log();
         let rate = reply.rate_limit;
-        let upstream = self.entry.placer().on_rate_limit(self.call, rate);
-        upstream.inspect(|id| log.rate_limit(now, id, rate));
+        let upstream = self.entry.placer().on_rate_limit(now, self.call, rate);
+        upstream.inspect(|id| log.rate_limit(now, id, rate, "answer"));
         if let Some(span) = reply.back_off {
             let upstream = self.entry.placer().on_back_off(now, self.call, span);
             upstream.inspect(|id| log.back_off(now, id, span));
@@ -664,14 +664,15 @@
     fn metrics(&self) -> String {
         let now = self.node.now();
         let version = self.node.cluster().routing().map_or(0, |r| r.version());
-        let (open, running) = {
+        let (open, limited, running) = {
             let placer = self.placer();
             let open = placer.iter().filter(|(_, t)| t.is_open(now)).count();
-            (open, placer.in_flight())
+            (open, placer.limited(), placer.in_flight())
         };
         let metrics = self.node.metrics();
         metrics.set(Metric::TableRevision, version);
         metrics.set(Metric::UpstreamOpen, open as u64);
+        metrics.set(Metric::UpstreamLimited, limited as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -2,10 +2,12 @@
 
 use crate::direct::entry::Entry;
 use crate::direct::wire::Datagram;
+use crate::direct::wire::LimitDoc;
 use crate::direct::wire::LoadDoc;
 use crate::direct::wire::RefusedDoc;
 use crate::direct::wire::StatusDoc;
 use crate::direct::wire::SuspectDoc;
+use crate::member::peers::Role;
 use crate::prelude::*;
 use crate::route::placement::RunnerStatus;
 use crate::util::lock;
@@ -16,6 +18,7 @@
     let reports = entry.crashes.export(now);
     let reports = reports.iter();
     datagram.suspects = reports.map(|r| SuspectDoc::new(now, r)).collect();
+    add_limits(entry, now, datagram);
     if !near {
         return;
     }
@@ -32,6 +35,24 @@
     datagram.refused = recent.iter().map(|r| RefusedDoc::new(now, r)).collect();
 }
 
+/// Adds the limits of upstreams, and keeps the entries that share them.
+fn add_limits(entry: &Entry, now: Millis, datagram: &mut Datagram) {
+    if entry.placer().limited() > 0 {
+        let own = entry.node.settings();
+        let mut entries = IndexMap::from([(own.name.clone(), own.zone.clone())]);
+        let peers = entry.node.peers();
+        let others = peers.with_role(Role::Entry);
+        entries.extend(others.map(|p| (p.name.clone(), p.zone.clone())));
+        drop(peers);
+        entry.placer().set_entries(&own.name, entries);
+    }
+    let limits = entry.placer().limits(now);
+    let limits = limits.iter();
+    datagram.limits = limits
+        .map(|(upstream, stated)| LimitDoc::new(now, *upstream, stated))
+        .collect();
+}
+
 /// Applies a datagram: loads of an entry of the zone, the status of a runner,
 /// refusals and suspects.
 pub fn receive(entry: &Entry, now: Millis, datagram: &Datagram) {
@@ -45,6 +66,13 @@
     if let Some(doc) = &datagram.status {
         entry.placer().on_status(&doc.upstream, status(now, doc));
     }
+    for limit in &datagram.limits {
+        let rate = limit.rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        let at = now.since(Millis(u64::from(limit.age)));
+        let upstream = entry.placer().on_peer_limit(limit.upstream, rate, at);
+        let log = entry.node.log();
+        upstream.inspect(|id| log.rate_limit(now, id, rate, &datagram.name));
+    }
     for refused in &datagram.refused {
         lock(&entry.refusals).merge(now, refused.to_refusal(now));
     }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -406,5 +406,11 @@
         let seen = suspects.map(|s| s.crashes.len() + usize::from(s.answered.is_some()));
         seen.sum::<usize>() + usize::from(d.ended.is_some())
     };
-    count(last) != count(current) || key(last) != key(current)
+    let limited = |d: &Datagram| {
+        let limits = d.limits.iter();
+        limits
+            .map(|l| (l.upstream, l.rate.is_some()))
+            .collect::<Vec<_>>()
+    };
+    count(last) != count(current) || limited(last) != limited(current) || key(last) != key(current)
 }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -13,6 +13,7 @@
 use crate::rollout::pieces::PieceDigests;
 use crate::rollout::versions::NamedVersion;
 use crate::rollout::versions::Naming;
+use crate::route::rate_share::Statement;
 use crate::table::replica::Delta;
 use crate::table::replica::Doc;
 
@@ -80,6 +81,9 @@
     /// The end of an agent's runner; none unless it has ended shortly before.
     #[prost(message, optional, tag = "21")]
     pub ended: Option<EndDoc>,
+    /// Limits that an entry has read in answers of upstreams.
+    #[prost(message, repeated, tag = "22")]
+    pub limits: Vec<LimitDoc>,
 }
 
 impl Datagram {
@@ -194,6 +198,20 @@
     pub ip: String,
 }
 
+/// The limit that an upstream names for the requests of all entries.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct LimitDoc {
+    /// Hash of the upstream's id.
+    #[prost(fixed64, tag = "1")]
+    pub upstream: u64,
+    /// Requests a second; none when it names no limit any more.
+    #[prost(double, optional, tag = "2")]
+    pub rate: Option<f64>,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+}
+
 /// The end of a runner's process.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EndDoc {
@@ -424,6 +442,17 @@
     }
 }
 
+impl LimitDoc {
+    /// Encodes what an answer said of the limit, with its time relative to `now`.
+    pub fn new(now: Millis, upstream: u64, stated: &Statement) -> LimitDoc {
+        LimitDoc {
+            upstream,
+            rate: stated.rate,
+            age: now.since(stated.at).0 as u32,
+        }
+    }
+}
+
 impl CrashDoc {
     /// Encodes a crash, with its time relative to `now`.
     fn new(now: Millis, crash: &Crash) -> CrashDoc {
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -84,6 +84,7 @@
     PeerFetched = "peer.fetched", Counter, "calls", "code", "calls to a peer for changes of the store, by result code, 0 for an answer";
     LogLeftOut = "log.left_out", Counter, "lines", "", "log lines beyond the bound of their kind";
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
+    UpstreamLimited = "upstream.limited", Gauge, "upstreams", "", "upstreams that limit the requests of all entries together";
     CrashCounted = "crash.counted", Counter, "crashes", "", "crashes of upstreams that an entry counted against requests";
     CrashBlocked = "crash.blocked", Gauge, "signatures", "", "requests and parts of prompts that are blocked as upstreams crash when they begin to answer them";
     VersionExpired = "version.expired", Counter, "answers", "", "streams whose first event came after the expiry of the version that they were made from";
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -13,6 +13,7 @@
 pub mod hedge;
 pub mod notice;
 pub mod placement;
+pub mod rate_share;
 pub mod recovery;
 pub mod reorder;
 pub mod request_state;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -20,6 +20,9 @@
 use crate::route::notice::Notice;
 use crate::route::notice::Notices;
 use crate::route::notice::StartId;
+use crate::route::rate_share;
+use crate::route::rate_share::RateLimit;
+use crate::route::rate_share::Statement;
 use crate::route::recovery::Recovery;
 use crate::route::spread;
 use crate::route::spread::Candidate;
@@ -119,6 +122,9 @@
 /// links and scheduling delays.
 const OVERHEAD_MS: f64 = 12.0;
 
+/// Time for which other entries are told of a limit after an answer has named or ended it.
+const LIMIT_TELL_TIME: Millis = Millis(10_000);
+
 common! { value
 /// What the placement needs to know about a request.
 pub struct RequestProfile {
@@ -228,8 +234,8 @@
     recovery: Recovery,
     /// When it last answered that the request was meant for another upstream.
     misdirected_at: Option<Millis>,
-    /// Requests a second that it takes from all entries, by its latest answer.
-    rate_limit: Option<f64>,
+    /// Requests a second that it takes from all entries.
+    rate_limit: RateLimit,
 }
 
 common! { key
@@ -278,6 +284,10 @@
     /// Time after which a replaced version expires.
     version_bound: Millis,
     notices: Notices,
+    /// Name of this entry.
+    own_name: String,
+    /// Zones of all entries, this one included, by name.
+    entries: IndexMap<String, String>,
     rng: Rng,
 }
 
@@ -294,6 +304,8 @@
             versions: Versions::default(),
             version_bound: Millis(0),
             notices: Notices::default(),
+            own_name: String::new(),
+            entries: IndexMap::new(),
             rng: Rng::with_seed(seed),
         }
     }
@@ -363,7 +375,7 @@
             {
                 // What the earlier incarnation did says nothing about this one.
                 target.recovery = Recovery::default();
-                target.rate_limit = None;
+                target.rate_limit = RateLimit::default();
                 target.status = None;
             }
             target.registration = member.clone();
@@ -390,7 +402,7 @@
             slowness: (1.0, Millis(0)),
             recovery: Recovery::default(),
             misdirected_at: None,
-            rate_limit: None,
+            rate_limit: RateLimit::default(),
         });
         self.by_id.insert(member.id.clone(), key);
         self.by_hash.insert(id_hash, key);
@@ -446,15 +458,73 @@
 
     /// Records the requests a second that the answer to a call names as the limit of its
     /// upstream. Returns the upstream's id when the limit has changed.
-    pub fn on_rate_limit(&mut self, key: Key<Call>, rate: Option<f64>) -> Option<String> {
+    pub fn on_rate_limit(
+        &mut self,
+        now: Millis,
+        key: Key<Call>,
+        rate: Option<f64>,
+    ) -> Option<String> {
         let call = self.calls.get(key)?;
         let target = self.targets.get_mut(call.target)?;
-        let is_changed = target.registration.started == call.started && target.rate_limit != rate;
-        if !is_changed {
-            return None;
-        }
-        target.rate_limit = rate;
-        Some(target.registration.id.clone())
+        let is_current = target.registration.started == call.started;
+        let is_changed = is_current && target.rate_limit.on_answer(now, call.sent, rate);
+        is_changed.then(|| target.registration.id.clone())
+    }
+
+    /// Records a limit that another entry has read in an answer of the upstream whose id
+    /// has this hash. Returns the upstream's id when the limit has changed.
+    pub fn on_peer_limit(&mut self, id_hash: u64, rate: Option<f64>, at: Millis) -> Option<String> {
+        let key = self.by_hash.get(&id_hash)?;
+        let target = self.targets.get_mut(*key)?;
+        let is_changed = target.rate_limit.merge(rate, at);
+        is_changed.then(|| target.registration.id.clone())
+    }
+
+    /// Returns the limits that this entry has read in answers lately, by the hash of the
+    /// upstream's id, for [`Placer::on_peer_limit`] of the other entries.
+    pub fn limits(&self, now: Millis) -> Vec<(u64, Statement)> {
+        let targets = self.targets.iter().map(|(_, t)| t);
+        let told = targets.filter_map(|t| {
+            let statement = t.rate_limit.own_statement(now, LIMIT_TELL_TIME)?;
+            Some((t.id_hash, statement))
+        });
+        told.collect()
+    }
+
+    /// Returns the number of upstreams with a limit.
+    pub fn limited(&self) -> usize {
+        let limited = self.targets.iter().filter(|(_, t)| t.is_limited());
+        limited.count()
+    }
+
+    /// Sets the names and zones of all entries, this one included, and its own name. They
+    /// share the limits of upstreams.
+    pub fn set_entries(&mut self, own: &str, entries: IndexMap<String, String>) {
+        self.own_name = own.to_string();
+        self.entries = entries;
+    }
+
+    /// Returns the part of this entry of the limit of an upstream, in requests a second.
+    ///
+    /// The entries of the upstream's zone share the limit, since the others use upstreams of
+    /// their own zones. All entries share it when that zone has none, or when its pool has no
+    /// upstream without a limit.
+    fn limit_share(&self, target: &Target) -> f64 {
+        let Some(rate) = target.rate_limit.rate() else {
+            return f64::INFINITY;
+        };
+        let zone = target.registration.zone.as_str();
+        let pool = target.registration.pool.as_str();
+        let has_other = self
+            .targets
+            .iter()
+            .any(|(_, t)| t.registration.pool == pool && !t.is_limited() && !t.is_leaving());
+        let has_near = self.entries.values().any(|z| z == zone);
+        let is_near_only = has_other && has_near;
+        let users = self.entries.iter();
+        let users = users.filter(|(_, z)| !is_near_only || z.as_str() == zone);
+        let users = users.map(|(name, _)| name.as_str());
+        rate_share::share(rate, target.id_hash, &self.own_name, users)
     }
 
     /// Changes the notice of the incarnation that a call was sent to, and returns
@@ -518,7 +588,8 @@
     ///
     /// Runners of other zones that do not report to this entry are used only when no
     /// other is left, and after them upstreams that cool down after failures. Upstreams
-    /// that asked for no requests are never used.
+    /// that asked for no requests are never used, and those that named a limit only within
+    /// the part of this entry.
     pub fn choose(
         &mut self,
         now: Millis,
@@ -538,7 +609,13 @@
             if !target.serves(now, profile) {
                 continue;
             }
-            let left = target.notice.back_off_left(now);
+            let mut left = target.notice.back_off_left(now);
+            if target.is_limited() {
+                match target.rate_limit.wait(now, self.limit_share(target)) {
+                    Some(wait) => left = left.max(wait),
+                    None => continue,
+                }
+            }
             if left > Millis(0) {
                 // An upstream that was tried counts too, since the caller may
                 // come back to it.
@@ -684,7 +761,9 @@
         first_ms: f64,
     ) -> Key<Call> {
         let (mut unread_ms, mut started) = (0.0, 0);
+        let share = self.targets.get(key).map_or(0.0, |t| self.limit_share(t));
         if let Some(target) = self.targets.get_mut(key) {
+            target.rate_limit.on_sent(now, share);
             started = target.registration.started;
             unread_ms = target
                 .engine
@@ -846,12 +925,18 @@
             "unread_ms": load.unread_ms,
             "pace": self.pace(now),
             "resting": self.is_avoided(now),
+            "rate_limit": self.rate_limit.rate(),
             "status": self.status(now).map(|s| serde_json::json!({
                 "busy": s.loading, "calls": s.calls, "age_ms": now.since(s.measured_at).0,
             })),
         })
     }
 
+    /// Returns true while it limits the requests of all entries together.
+    fn is_limited(&self) -> bool {
+        self.rate_limit.rate().is_some()
+    }
+
     /// Returns true when the registry or its own answers say that it is leaving.
     fn is_leaving(&self) -> bool {
         self.leaving || self.notice.leaving
