--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -79,17 +79,22 @@
 
     /// Starts a stand-in on a free port, waits until it listens and returns its address.
     pub fn standin(args: &[&str]) -> (Process, SocketAddr) {
-        let process = Process::listening(args);
+        let process = Process::listening(args, "127.0.0.1:0");
         let last = process.lines.last().map(String::as_str).unwrap_or_default();
         let addr = last.strip_prefix("listening ").unwrap().parse().unwrap();
         (process, addr)
     }
 
-    /// Starts a stand-in and reads its output until it listens.
-    fn listening(args: &[&str]) -> Process {
+    /// Starts a stand-in on an address that is free, such as that of one that was killed.
+    pub fn standin_at(addr: SocketAddr, args: &[&str]) -> Process {
+        Process::listening(args, &addr.to_string())
+    }
+
+    /// Starts a stand-in that listens on `listen`, and reads its output until it does.
+    fn listening(args: &[&str], listen: &str) -> Process {
         let mut all_args = vec!["standin"];
         all_args.extend(args);
-        all_args.extend(["--listen", "127.0.0.1:0"]);
+        all_args.extend(["--listen", listen]);
         let mut process = Process::start(env!("CARGO_BIN_EXE_chervilquay"), &all_args);
         let stdout = process.child.stdout.take().unwrap();
         for line in BufReader::new(stdout).lines() {
