gate: Block beginnings of prompts on which engines crash on the own interface

Requests of the own interface do not name the parts of their prompt, so their signature is that of the first 512 bytes of the body, which already steers them to one upstream. A crash that the agent reports counts for a request without data, data clears it, peers exchange both.

A second test covers the exchange.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -8,6 +8,7 @@
 use crate::entry::answer;
 use crate::entry::running::ReplyPart;
 use crate::entry::running::RunningRequest;
+use crate::gate::Signatures;
 use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::rt;
@@ -49,6 +50,8 @@
     pub body: Bytes,
     /// Fingerprint by which requests that crash upstreams are recognised.
     pub fingerprint: Fingerprint,
+    /// What it has in common with other requests that may crash upstreams.
+    pub signatures: Signatures,
 }
 
 impl CallerRequest {
@@ -57,14 +60,15 @@
         let route = util::stable_hash([self.route_name.as_str()]);
         Kind::new(self.route.class, route, self.body.len())
     }
+}
 
-    /// Hash of the first [`PREFIX_BYTES`] of the body, by which requests with a common
-    /// prefix go to the same upstream; none for shorter bodies, whose prefill is cheap.
-    fn prefix(&self) -> Option<u64> {
-        let head = self.body.get(..PREFIX_BYTES)?;
-        let text = String::from_utf8_lossy(head);
-        Some(util::stable_hash([self.route_name.as_str(), &text]))
-    }
+/// Hash of the first [`PREFIX_BYTES`] of the body, by which requests with a common prefix go to
+/// the same upstream, and by which those are recognised under which upstreams crash; none for
+/// shorter bodies, whose prefill is cheap.
+pub fn prefix(route_name: &str, body: &[u8]) -> Option<u64> {
+    let head = body.get(..PREFIX_BYTES)?;
+    let text = String::from_utf8_lossy(head);
+    Some(util::stable_hash([route_name, &text]))
 }
 
 /// Applies the limits, runs the request and returns the answer once its head has arrived.
@@ -104,7 +108,7 @@
             cost,
             short,
             repeatable: request.route.repeat == Repeat::Safe,
-            prefix: request.prefix(),
+            prefix: prefix(&request.route_name, &request.body),
         })
     });
     admitted.unwrap_or_else(|| Err(Error::new(Code::NoUpstream, request.route.pool.clone())))
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -13,6 +13,7 @@
 use crate::entry::forward::CallerRequest;
 use crate::entry::ticketed;
 use crate::entry::ticketed::Refusal;
+use crate::gate::Signatures;
 use crate::gate::suspect;
 use crate::metric::Metric;
 use crate::net::body;
@@ -57,10 +58,10 @@
     let key = header(request.headers(), ticketed::KEY_HEADER);
     let matched = read_request(&entry, request).await?;
     let key = key.filter(|_| matched.route.repeat == Repeat::Never);
-    let blocked_for = entry
-        .node
-        .suspects
-        .blocked_for(entry.node.clock.now(), &matched.fingerprint);
+    let (now, suspects) = (entry.node.clock.now(), &entry.node.suspects);
+    let blocked_for = suspects
+        .blocked_for(now, &matched.fingerprint)
+        .or_else(|| suspects.alike_blocked_for(now, &matched.signatures));
     if let Some(after) = blocked_for {
         let error = Error::new(Code::RequestBlocked, "blocked in this zone after crashes")
             .with_retry(after);
@@ -158,12 +159,15 @@
         })
         .collect();
     let now = entry.node.clock.now();
+    let fingerprint = suspect::fingerprint(&organisation, parts.method.as_str(), &path, &bytes);
+    let prefix = forward::prefix(&route_name, &bytes).map(|hash| hash.to_string());
     Ok(CallerRequest {
+        signatures: Signatures::new(&fingerprint, &route.pool, prefix.as_deref()),
         id: uuid::Uuid::now_v7().to_string(),
         route_name,
         deadline: now.plus(Millis(route.deadline_ms)),
         route,
-        fingerprint: suspect::fingerprint(&organisation, parts.method.as_str(), &path, &bytes),
+        fingerprint,
         organisation,
         method: parts.method.to_string(),
         path,
--- a/src/entry/running.rs
+++ b/src/entry/running.rs
@@ -71,6 +71,8 @@
     /// Attempts in progress by number. Dropping a task closes its stream, which cancels
     /// the attempt at the agent.
     tasks: IndexMap<u32, Task<()>>,
+    /// Upstreams of the attempts of which no data has come, by number.
+    waiting: IndexMap<u32, Key<Upstream>>,
     /// Channel to the caller, once the head has been sent; closed when the caller leaves.
     caller: Option<BodySender>,
     /// Timer and its time, kept between calls: setting a new timer for each frame wakes
@@ -99,6 +101,7 @@
             events,
             sender,
             tasks: IndexMap::new(),
+            waiting: IndexMap::new(),
             caller: None,
             timer: None,
         };
@@ -201,12 +204,18 @@
                 self.record_load(attempt, &head);
                 AnswerPart::Head(head)
             }
-            Some(FrameKind::Data(data)) => AnswerPart::Data(data.into()),
+            Some(FrameKind::Data(data)) => {
+                self.record_data(attempt);
+                AnswerPart::Data(data.into())
+            }
             Some(FrameKind::Done(done)) => {
                 run_ms = Some(done.run_ms);
                 AnswerPart::Done(done.length)
             }
             Some(FrameKind::Fail(fail)) => {
+                if fail.crashed {
+                    self.record_begun_crash(attempt);
+                }
                 let error = agent_error(&self.entry, &self.request, attempt, &fail);
                 return self.fail(attempt, error);
             }
@@ -233,6 +242,31 @@
         }
     }
 
+    /// Records that the upstream of an attempt has begun the answer.
+    fn record_data(&mut self, attempt: u32) {
+        if self.waiting.swap_remove(&attempt).is_some() {
+            let now = self.entry.node.clock.now();
+            let suspects = &self.entry.node.suspects;
+            suspects.record_data(now, &self.request.signatures);
+        }
+    }
+
+    /// Records that the upstream of an attempt has crashed, if no data of it had come.
+    fn record_begun_crash(&mut self, attempt: u32) {
+        let Some(upstream) = self.waiting.swap_remove(&attempt) else {
+            return;
+        };
+        let pool = &self.request.route.pool;
+        let addr = self.entry.pools.with_pool(pool, |pool| pool.addr(upstream));
+        let Some(addr) = addr.flatten() else {
+            // The tables no longer list it.
+            return;
+        };
+        let (now, addr) = (self.entry.node.clock.now(), addr.to_string());
+        let suspects = &self.entry.node.suspects;
+        suspects.record_begun_crash(now, &addr, &self.request.signatures);
+    }
+
     /// Passes the failure of an attempt to the decision state.
     fn fail(&mut self, attempt: u32, error: Error) {
         slog::debug!(self.entry.node.logger(Component::Route), "attempt failed"; "error" => %error);
@@ -331,6 +365,7 @@
             }
         });
         self.tasks.insert(attempt, task);
+        self.waiting.insert(attempt, upstream);
     }
 }
 
--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -277,6 +277,14 @@
             .map_or(0, Suspect::points)
     }
 
+    /// Returns the time until a blocked signature is forgotten.
+    pub fn remaining(&self, now: Millis, signature: u64) -> Millis {
+        let held = self.suspects.get(&signature);
+        held.map_or(Millis(0), |s| {
+            s.last_crash().plus(MAX_BLOCK_TIME).since(now)
+        })
+    }
+
     /// Counts a crash against a request that was lost without an event; `has_head` tells
     /// whether the upstream had sent the head of an answer.
     ///
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -63,8 +63,14 @@
         let suspects = Suspects::default();
         let (sending, receiving) = (suspects.clone(), suspects.clone());
         table_sync.on_exchange(
-            move |notice| notice.suspects = sending.export(clock.now()),
-            move |notice| receiving.merge(clock.now(), &notice.from, &notice.suspects),
+            move |notice| {
+                notice.suspects = sending.export(clock.now());
+                notice.signatures = sending.export_signatures(clock.now());
+            },
+            move |notice| {
+                receiving.merge(clock.now(), &notice.from, &notice.suspects);
+                receiving.merge_signatures(clock.now(), &notice.signatures);
+            },
         );
         Node {
             settings: Arc::new(settings),
--- a/src/node/suspects.rs
+++ b/src/node/suspects.rs
@@ -3,6 +3,11 @@
 use std::sync::Mutex;
 
 use crate::gate;
+use crate::gate::CrashTable;
+use crate::gate::Signatures;
+use crate::gate::crash_table::Crash;
+use crate::gate::crash_table::Report;
+use crate::gate::crash_table::Verdict;
 use crate::gate::suspect::CrashReport;
 use crate::once::Fingerprint;
 use crate::prelude::*;
@@ -13,6 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     table: Arc<Mutex<gate::Suspects>>,
+    /// What different requests have in common.
+    signatures: Arc<Mutex<CrashTable>>,
 }
 
 impl Suspects {
@@ -40,6 +47,74 @@
         self.lock().record_success(now, fingerprint);
     }
 
+    /// Returns for how long a request is blocked as upstreams crashed under others that begin
+    /// like it; none when it is not blocked.
+    pub fn alike_blocked_for(&self, now: Millis, request: &Signatures) -> Option<Millis> {
+        let mut table = util::lock(&self.signatures);
+        match table.verdict(now, request, false, |_| false) {
+            Verdict::Block(signature) => Some(table.remaining(now, signature)),
+            Verdict::Pass | Verdict::Test(_) => None,
+        }
+    }
+
+    /// Counts a crash of the upstream at `addr` against a request that it was running and
+    /// of whose answer no data had come.
+    pub fn record_begun_crash(&self, now: Millis, addr: &str, request: &Signatures) {
+        let upstream = util::stable_hash([addr]);
+        util::lock(&self.signatures).record_crash(now, upstream, request, true);
+    }
+
+    /// Clears what a request has in common with others, as data of its answer has come.
+    pub fn record_data(&self, now: Millis, request: &Signatures) {
+        util::lock(&self.signatures).record_answer(now, request);
+    }
+
+    /// Returns what this process knows of signatures, for a notice to peers.
+    pub fn export_signatures(&self, now: Millis) -> Vec<proto::Signature> {
+        let mut table = util::lock(&self.signatures);
+        table.tick(now);
+        let docs = |crashes: &[Crash]| {
+            let docs = crashes.iter().map(|crash| proto::Crash {
+                upstream: crash.upstream,
+                age_ms: now.since(crash.at).0,
+                points: crash.points,
+            });
+            docs.collect()
+        };
+        let reports = table.export(now).into_iter();
+        let reports = reports.map(|report| proto::Signature {
+            signature: report.signature,
+            part: report.is_part,
+            crashes: docs(&report.crashes),
+            answered_ms: report.answered.map(|at| now.since(at).0),
+            heard: docs(&report.heard),
+        });
+        reports.collect()
+    }
+
+    /// Adds what a peer knows of signatures.
+    pub fn merge_signatures(&self, now: Millis, reports: &[proto::Signature]) {
+        let crashes = |docs: &[proto::Crash]| {
+            let crashes = docs.iter().map(|doc| Crash {
+                upstream: doc.upstream,
+                at: now.since(Millis(doc.age_ms)),
+                points: doc.points,
+            });
+            crashes.collect()
+        };
+        let mut table = util::lock(&self.signatures);
+        for doc in reports {
+            let report = Report {
+                signature: doc.signature,
+                is_part: doc.part,
+                crashes: crashes(&doc.crashes),
+                heard: crashes(&doc.heard),
+                answered: doc.answered_ms.map(|age| now.since(Millis(age))),
+            };
+            table.merge(now, &report);
+        }
+    }
+
     /// Returns the crashes counted by this process, for a notice to peers.
     pub fn export(&self, now: Millis) -> Vec<proto::Suspect> {
         let mut table = self.lock();
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -221,6 +221,37 @@
     pub counts: ::prost::alloc::vec::Vec<Count>,
     #[prost(message, repeated, tag = "8")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    #[prost(message, repeated, tag = "9")]
+    pub signatures: ::prost::alloc::vec::Vec<Signature>,
+}
+/// What the sender knows of requests that have a signature in common and may crash upstreams.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Signature {
+    #[prost(fixed64, tag = "1")]
+    pub signature: u64,
+    /// True for a beginning of prompts, false for a whole request.
+    #[prost(bool, tag = "2")]
+    pub part: bool,
+    /// Crashes that the sender has noticed.
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
+    /// Time since the last data of an answer; none when there was none.
+    #[prost(uint64, optional, tag = "4")]
+    pub answered_ms: ::core::option::Option<u64>,
+    /// Crashes that the sender has heard of, when the signature is blocked.
+    #[prost(message, repeated, tag = "5")]
+    pub heard: ::prost::alloc::vec::Vec<Crash>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Crash {
+    /// Hash of the upstream's address.
+    #[prost(fixed64, tag = "1")]
+    pub upstream: u64,
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// How much it counts.
+    #[prost(uint32, tag = "3")]
+    pub points: u32,
 }
 /// Requests a minute of one organisation that the sender admits; `cost` is not used yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/prompt_prefix.rs
+++ b/tests/prompt_prefix.rs
@@ -11,6 +11,9 @@
 use std::net::SocketAddr;
 use std::thread;
 
+use chervilquay::gate::Signatures;
+use chervilquay::node::Suspects;
+use chervilquay::time::Millis;
 use support::system::Process;
 use support::system::System;
 use support::system::dump;
@@ -78,3 +81,30 @@
     let other = complete(entry, &format!("{} sound", "e".repeat(700)));
     assert_eq!(other.0, 200, "{other:?}");
 }
+
+/// Guards against entries that each wait for crashes of their own.
+#[test]
+fn peers_learn_of_a_blocked_beginning() {
+    let request = |number: u64| Signatures {
+        request: number,
+        parts: vec![7],
+    };
+    let (own, peer) = (Suspects::default(), Suspects::default());
+    for n in 0..3 {
+        let at = Millis(1_000 + n * 1_000);
+        own.record_begun_crash(at, &format!("u{n}"), &request(n));
+    }
+    let notice = own.export_signatures(Millis(4_000));
+    peer.merge_signatures(Millis(9_000), &notice);
+    let left = peer.alike_blocked_for(Millis(9_000), &request(50));
+    assert_eq!(left, Some(Millis(600_000 - 1_000)));
+    let other = Signatures {
+        request: 51,
+        parts: vec![8],
+    };
+    assert_eq!(peer.alike_blocked_for(Millis(9_000), &other), None);
+    // Data of an answer at the peer clears it at both.
+    peer.record_data(Millis(9_100), &request(52));
+    own.merge_signatures(Millis(9_200), &peer.export_signatures(Millis(9_200)));
+    assert_eq!(own.alike_blocked_for(Millis(9_200), &request(53)), None);
+}
