gate: Tell peers only of signatures that get near a block

After a crash, each entry told all processes at once of every request that had only been waiting at it, and again of each answer that cleared one: with 38 entries and 72 machines, thousands of datagrams for one crash. Cause: what counts little was reported like what counts. Peers are told from two points on; only crashes of begun requests, and answers that end a suspicion of two crashes, are sent at once; an answer is told for five seconds. tests/crash_table: waiting_requests_are_not_reported fails on the code before (16 reports).

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -400,10 +400,14 @@
             .as_ref()
             .map(|s| (s.busy, s.holdings.clone(), s.complete))
     };
-    // Ages grow all the time, so crashes are counted.
+    // Ages grow all the time, so crashes are counted: those by which a signature gets near
+    // its block, and answers that end one.
     let count = |d: &Datagram| {
         let suspects = d.suspects.iter();
-        let seen = suspects.map(|s| s.crashes.len() + usize::from(s.answered.is_some()));
+        let seen = suspects.map(|s| {
+            let ends = s.answered.is_some() && s.crashes.len() + s.heard.len() > 1;
+            s.crashes.iter().filter(|c| c.points > 1).count() + usize::from(ends)
+        });
         seen.sum::<usize>() + usize::from(d.ended.is_some())
     };
     let limited = |d: &Datagram| {
--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -70,6 +70,13 @@
 /// Most crashes that are held for one signature, the latest ones.
 const MAX_CRASHES: usize = 8;
 
+/// Points from which peers are told of a signature. One that was only waiting at a crash
+/// concerns nobody else, and a crash leaves dozens of these.
+const REPORT_POINTS: u32 = BEGUN_POINTS;
+
+/// Time for which peers are told of an answer to a request with a suspected signature.
+const ANSWER_REPORT_TIME: Millis = Millis(5_000);
+
 /// Most signatures in one report to peers.
 pub const MAX_REPORTED: usize = 16;
 
@@ -172,16 +179,20 @@
     /// Returns the sum of the points after the last answer. Crashes at about the same time
     /// count once.
     fn points(&self) -> u32 {
-        let mut episodes: Vec<(Millis, u32)> = Vec::new();
+        let mut sum = 0;
+        let mut episode: Option<(Millis, u32)> = None;
         for crash in self.pending() {
-            match episodes.last_mut() {
+            match &mut episode {
                 Some((start, most)) if crash.at.since(*start) <= EPISODE_TIME => {
                     *most = (*most).max(crash.points);
                 }
-                _ => episodes.push((crash.at, crash.points)),
+                _ => {
+                    sum += episode.map_or(0, |(_, most)| most);
+                    episode = Some((crash.at, crash.points));
+                }
             }
         }
-        episodes.iter().map(|(_, points)| points).sum()
+        sum + episode.map_or(0, |(_, most)| most)
     }
 
     /// Returns the crashes that this process has seen itself, or the others.
@@ -214,12 +225,8 @@
     }
 
     fn is_expired(&self, now: Millis) -> bool {
-        let span = if self.is_blocked() {
-            MAX_BLOCK_TIME
-        } else {
-            SUSPECT_EXPIRY
-        };
-        now.since(self.last_crash()) >= span
+        let age = now.since(self.last_crash());
+        age >= MAX_BLOCK_TIME || (age >= SUSPECT_EXPIRY && !self.is_blocked())
     }
 
     /// Adds a crash, or raises the points of the same crash.
@@ -326,10 +333,14 @@
     /// Clears the signatures of a request of whose answer an event has arrived.
     pub fn record_answer(&mut self, now: Millis, request: &Signatures) {
         for signature in request.all() {
-            if let Some(suspect) = self.suspects.get_mut(&signature)
-                && suspect.points() > 0
-            {
+            let Some(suspect) = self.suspects.get_mut(&signature) else {
+                continue;
+            };
+            let points = suspect.points();
+            if points >= REPORT_POINTS {
                 suspect.own_answered = Some(now);
+            }
+            if points > 0 {
                 suspect.add_answer(now);
             }
         }
@@ -412,8 +423,13 @@
 
     /// Returns what peers are told, with the signatures with the most points first.
     pub fn export(&self, now: Millis) -> Vec<Report> {
-        let live = self.suspects.iter().filter(|(_, s)| !s.is_expired(now));
-        let own = live.map(|(signature, suspect)| {
+        let mut own = Vec::new();
+        for (signature, suspect) in &self.suspects {
+            let (points, answered) = (suspect.points(), suspect.own_answered);
+            let is_answered = answered.is_some_and(|at| now.since(at) < ANSWER_REPORT_TIME);
+            if (points < REPORT_POINTS && !is_answered) || suspect.is_expired(now) {
+                continue;
+            }
             let report = Report {
                 signature: *signature,
                 is_part: suspect.is_part,
@@ -423,14 +439,14 @@
                 } else {
                     Vec::new()
                 },
-                answered: suspect.own_answered,
+                answered,
             };
-            let changed = suspect.own_answered.max(Some(suspect.last_crash()));
-            ((suspect.points(), changed), report)
-        });
-        let mut own: Vec<_> = own
-            .filter(|(_, r)| !r.crashes.is_empty() || !r.heard.is_empty() || r.answered.is_some())
-            .collect();
+            let is_known = !report.crashes.is_empty() || !report.heard.is_empty() || is_answered;
+            let changed = answered.max(Some(suspect.last_crash()));
+            if is_known {
+                own.push(((points, changed), report));
+            }
+        }
         own.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         own.truncate(MAX_REPORTED);
         own.into_iter().map(|(_, report)| report).collect()
--- a/tests/crash_table.rs
+++ b/tests/crash_table.rs
@@ -237,6 +237,27 @@
     );
 }
 
+/// Guards against datagrams to all processes, after each crash, about requests that were only
+/// waiting at it, and about each answer that clears one of them.
+#[test]
+fn waiting_requests_are_not_reported() {
+    let mut table = CrashTable::default();
+    for n in 0..40 {
+        table.record_crash(Millis(0), 1, &request(n, &[n]), false);
+    }
+    assert!(table.export(Millis(10)).is_empty());
+    for n in 0..40 {
+        table.record_answer(Millis(100 + n), &request(100 + n, &[n]));
+    }
+    assert!(table.export(Millis(200)).is_empty());
+    // One of an upstream that had begun is told, and its answer only for some time.
+    table.record_crash(Millis(300), 1, &request(50, &[50]), true);
+    assert_eq!(table.export(Millis(310)).len(), 2);
+    table.record_answer(Millis(400), &request(51, &[50]));
+    assert_eq!(table.export(Millis(410)).len(), 2);
+    assert_eq!(table.export(Millis(6_000)).len(), 1);
+}
+
 /// Guards against a report that grows, or a table that a peer fills, without bound.
 #[test]
 fn tables_and_reports_are_bounded() {
