net: Hold bodies in blocks until they have ended

Cause: each body was held in a buffer that doubled. While it grew, the old and the new one existed, only the new one was reserved, and the freed ones of 24 bodies did not fit each other's next size, so the heap grew beyond the budget of 32 MB. Ruled out: the heads (peaks of 8 to 18 MB) and sockets.

Now a body is held in blocks of 64 KiB, and the blocks and the joined body are both reserved.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -175,6 +175,13 @@
         }
         is_granted
     }
+
+    /// Lowers the reservation to `bytes`.
+    fn lower(&mut self, bytes: usize) {
+        let freed = self.bytes.saturating_sub(bytes);
+        self.budget.left.fetch_add(freed, Ordering::Relaxed);
+        self.bytes -= freed;
+    }
 }
 
 impl Drop for Reservation {
@@ -221,6 +228,8 @@
     if reservation.bytes == 0 {
         return Ok(bytes);
     }
+    // The blocks that were joined are freed.
+    reservation.lower(bytes.len());
     Ok(Bytes::from_owner(ReservedBody {
         bytes,
         _reservation: reservation,
@@ -241,8 +250,10 @@
 
 /// Reads a body of at most `limit` bytes and `max_frames` frames.
 ///
-/// Calls `reserve` with the new size of the buffer before it grows; false refuses the
-/// body.
+/// The bytes are held in blocks of one size until the body has ended: a buffer that grows is
+/// copied each time, and the freed ones of many bodies do not fit each other's next size.
+/// Calls `reserve` with the new size of all blocks before one is added, and with that of the
+/// blocks and the whole body before they are joined; false refuses the body.
 async fn collect<B>(
     body: &mut B,
     limit: usize,
@@ -253,7 +264,7 @@
     B: Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    let mut buffer = BytesMut::new();
+    let mut blocks = Blocks::default();
     let mut frames = 0;
     while let Some(frame) = body.frame().await {
         frames += 1;
@@ -265,19 +276,71 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = buffer.len() + data.len();
-        if length > limit {
+        if blocks.length + data.len() > limit {
             return Err(too_large(limit));
         }
-        if length > buffer.capacity() {
-            let size = length.max(2 * buffer.capacity()).min(limit);
-            if !reserve(size) {
-                let detail = format!("no memory left for {size} bytes");
-                return Err(Error::new(Code::BodyTooLarge, detail));
+        blocks.push(&data, reserve)?;
+    }
+    blocks.join(reserve)
+}
+
+/// Bytes of a body that is being read, in blocks.
+#[derive(Default)]
+struct Blocks {
+    blocks: Vec<BytesMut>,
+    /// Bytes in all blocks.
+    length: usize,
+    /// Capacity of all blocks.
+    capacity: usize,
+}
+
+impl Blocks {
+    /// Capacity of a block, in bytes.
+    const SIZE: usize = 64 << 10;
+
+    /// Appends bytes.
+    fn push(&mut self, mut bytes: &[u8], reserve: &mut dyn FnMut(usize) -> bool) -> Result<()> {
+        while !bytes.is_empty() {
+            let room = self.capacity - self.length;
+            if room == 0 {
+                // Most bodies are one short frame.
+                let size = match self.capacity {
+                    0 => bytes.len().min(Blocks::SIZE),
+                    _ => Blocks::SIZE,
+                };
+                self.reserve(self.capacity + size, reserve)?;
+                self.capacity += size;
+                self.blocks.push(BytesMut::with_capacity(size));
+                continue;
             }
-            buffer.reserve(size - buffer.len());
+            let (now, later) = bytes.split_at(room.min(bytes.len()));
+            if let Some(last) = self.blocks.last_mut() {
+                last.extend_from_slice(now);
+            }
+            self.length += now.len();
+            bytes = later;
+        }
+        Ok(())
+    }
+
+    /// Returns all bytes in one piece.
+    fn join(mut self, reserve: &mut dyn FnMut(usize) -> bool) -> Result<Bytes> {
+        if self.blocks.len() <= 1 {
+            return Ok(self.blocks.pop().unwrap_or_default().freeze());
+        }
+        self.reserve(self.capacity + self.length, reserve)?;
+        let mut whole = BytesMut::with_capacity(self.length);
+        for block in self.blocks {
+            whole.extend_from_slice(&block);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn reserve(&self, size: usize, reserve: &mut dyn FnMut(usize) -> bool) -> Result<()> {
+        if reserve(size) {
+            return Ok(());
         }
-        buffer.extend_from_slice(&data);
+        let detail = format!("no memory left for {size} bytes");
+        Err(Error::new(Code::BodyTooLarge, detail))
     }
-    Ok(buffer.freeze())
 }
