gate: Do not count a blocked request against its upstream

A request that is given up while it waits, because its signature has just been blocked, counted as a failure of its upstream, which then cooled down although nothing had happened there.

--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -406,7 +406,11 @@
             SendOutcome::Unsent(error)
         }
         Err(error) => {
-            call.set_outcome(Outcome::Failed);
+            // One that is blocked while it waits says nothing of its upstream.
+            call.set_outcome(match error.code {
+                Code::RequestBlocked => Outcome::Dropped,
+                _ => Outcome::Failed,
+            });
             if is_lost {
                 entry.record_lost(inbound, target, call.progress());
             }
