gate: Add up crashes of a part that was answered before over all entries

A part that upstreams answered for a time, and then crash on, was blocked only once a single entry had seen most of its crashes: a crash counts less for a part that was answered in the last minute, as little as for a request in a queue, and that little is not reported. Now it has points of its own (4 begun, 2 begun and answered before, 1 waiting; limits 8 and 12), and is reported. entries_add_up_crashes_of_an_answered_part (30 entries, six crashes) fails on the code before. entries_add_up_their_crashes expects 12 points for 6, the same three crashes on the new scale.

--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -19,22 +19,24 @@
 
 /// Points of crashes from which a whole request is blocked: two crashes at which an
 /// upstream had begun to answer it.
-const REQUEST_LIMIT: u32 = 4;
+const REQUEST_LIMIT: u32 = 8;
 
 /// Points of crashes from which a part of prompts is blocked. It takes one crash more, as a
 /// blocked part concerns many requests.
-const PART_LIMIT: u32 = 6;
+const PART_LIMIT: u32 = 12;
 
 /// Points of a part from which a lost request that has it is not sent again.
-const REPEAT_LIMIT: u32 = 4;
+const REPEAT_LIMIT: u32 = 8;
 
 /// Points of a crash when the upstream had sent the head of an answer and no event. An
 /// upstream sends the head when it begins to answer.
-const BEGUN_POINTS: u32 = 2;
+const BEGUN_POINTS: u32 = 4;
 
-/// Points of a crash when the upstream had sent nothing, or when requests with the same
-/// signature were answered shortly before.
-const WEAK_POINTS: u32 = 1;
+/// The same when requests with the same signature were answered shortly before.
+const SOUND_POINTS: u32 = 2;
+
+/// Points of a crash when the upstream had sent nothing.
+const WAITING_POINTS: u32 = 1;
 
 /// Time within which crashes of several upstreams count as one. Many upstreams that are
 /// lost at once have another cause than the requests that ran there.
@@ -72,7 +74,7 @@
 
 /// Points from which peers are told of a signature. One that was only waiting at a crash
 /// concerns nobody else, and a crash leaves dozens of these.
-const REPORT_POINTS: u32 = BEGUN_POINTS;
+const REPORT_POINTS: u32 = SOUND_POINTS;
 
 /// Time for which peers are told of an answer to a request with a suspected signature.
 const ANSWER_REPORT_TIME: Millis = Millis(5_000);
@@ -309,10 +311,10 @@
                 .sound
                 .get(&signature)
                 .is_some_and(|at| now.since(*at) < SOUND_TIME);
-            let points = if has_head && !was_sound {
-                BEGUN_POINTS
-            } else {
-                WEAK_POINTS
+            let points = match (has_head, was_sound) {
+                (true, false) => BEGUN_POINTS,
+                (true, true) => SOUND_POINTS,
+                (false, _) => WAITING_POINTS,
             };
             let crash = Crash {
                 upstream,
