replication: Log why an entry reads the store, and the size of what is read

The logs could not tell how large transferred changes are, nor whether an entry reads the store by its rank, for its first read or as it is behind. New lines 'platform: reading of the store has changed' and 'table: large changes have been read', counters store.read_bytes and peer.read_bytes.

--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -14,10 +14,12 @@
 use prost::Message;
 use smol::channel::Receiver;
 
+use crate::direct::decision_log::Kind;
 use crate::direct::node::Node;
 use crate::direct::wire::DeltaDoc;
 use crate::member::peers::Role;
 use crate::member::store_watch;
+use crate::member::store_watch::Reason;
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
@@ -26,6 +28,7 @@
 use crate::net::client::Limits;
 use crate::platform::store::Store;
 use crate::prelude::*;
+use crate::table::replica::Delta;
 use slog::info;
 
 /// Interval at which an entry that does not read the store checks whether it should.
@@ -59,6 +62,10 @@
 /// outage may be a whole interval old.
 const OUTAGE_BEATS: u64 = 2;
 
+/// Least size of changes whose transfer is logged, in bytes: such changes take longer
+/// on a link than the call itself.
+const LARGE_READ: usize = 64 << 10;
+
 /// Path on the internal port where peers fetch changes.
 pub const PATH: &str = "/feed";
 
@@ -66,8 +73,13 @@
 pub async fn read_store(node: Node) {
     let store = Store::new(node.settings().store);
     let mut failures = 0_u32;
+    let mut last_reason = None;
     loop {
-        if !is_needed(&node) {
+        let reason = read_reason(&node);
+        if reason != std::mem::replace(&mut last_reason, reason) {
+            info!(node.log().logger(), "platform: reading of the store has changed"; "reason" => format!("{reason:?}"));
+        }
+        if reason.is_none() {
             node.cluster().watch.on_idle();
             smol::Timer::after(READER_CHECK_INTERVAL).await;
             continue;
@@ -101,20 +113,15 @@
     }
 }
 
-/// Returns true when this entry should read the store: always before its first
-/// read and while peers have changes that it cannot fetch from them, else when
-/// the zone has too few readers.
-fn is_needed(node: &Node) -> bool {
-    let must_read = {
+/// Returns why this entry should read the store; none when others do.
+fn read_reason(node: &Node) -> Option<Reason> {
+    let (watch, revision) = {
         let cluster = node.cluster();
-        !cluster.replica.is_synced() || cluster.watch.is_stuck(node.now())
+        (cluster.watch, cluster.replica.revision())
     };
-    if must_read {
-        return true;
-    }
     let settings = node.settings();
-    let peers = node.peers();
-    store_watch::should_read(node.now(), &settings.name, &settings.zone, &peers)
+    let (name, zone) = (&settings.name, &settings.zone);
+    store_watch::read_reason(node.now(), name, zone, &watch, revision, &node.peers())
 }
 
 /// Returns true when others may rely on this process for changes of the store.
@@ -150,11 +157,23 @@
         cluster.watch.note_wait(node.now(), asked);
         (is_back, cluster.grace_left(node.now()))
     };
+    record_read(node, Metric::StoreRead, &delta, asked, "store");
     node.apply(delta, grace, "store");
     node.cluster().watch.on_complete(node.now());
     Ok(is_back)
 }
 
+/// Counts what was read from `source` by a call made at `asked`, and logs large changes.
+fn record_read(node: &Node, metric: Metric, delta: &Delta, asked: Millis, source: &str) {
+    let size = delta.size();
+    node.metrics().count(metric, size as u64);
+    let now = node.now();
+    if size >= LARGE_READ && node.log().admits(now, Kind::Belief) {
+        info!(node.log().logger(), "table: large changes have been read";
+            "bytes" => size, "took_ms" => now.since(asked).0, "source" => source.to_string());
+    }
+}
+
 /// Reads the store itself while the agent knows no entry; runs until dropped.
 pub async fn read_store_without_entries(node: Node) {
     let store = Store::new(node.settings().store);
@@ -177,7 +196,9 @@
 
 /// Reads the whole store once, without a grace period.
 async fn read_once(node: &Node, store: &Store) -> Result<()> {
+    let asked = node.now();
     let delta = store.list("").await?;
+    record_read(node, Metric::StoreRead, &delta, asked, "store");
     node.apply(delta, Millis(0), "store");
     Ok(())
 }
@@ -225,7 +246,9 @@
                         node.cluster().peer_had_changes(node.now(), least_outage);
                     }
                     let named = doc.to_named(node.now());
-                    node.apply(doc.into_delta(), grace, &name);
+                    let delta = doc.into_delta();
+                    record_read(&node, Metric::PeerRead, &delta, asked, &name);
+                    node.apply(delta, grace, &name);
                     node.merge_versions(&named);
                     break;
                 }
--- a/src/member/store_watch.rs
+++ b/src/member/store_watch.rs
@@ -72,6 +72,18 @@
 }
 }
 
+common! { key
+/// Why an entry reads the store.
+pub enum Reason {
+    /// It has not read anything yet.
+    FirstRead,
+    /// Peers have changes that it cannot fetch from them.
+    Behind,
+    /// Fewer than two entries of its zone with smaller names read.
+    Rank,
+}
+}
+
 /// State of this process's reading of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreWatch {
@@ -201,8 +213,28 @@
     }
 }
 
-/// Returns true when the entry `own` should read the store itself: fewer than
-/// two entries of its zone with smaller names are readers that can be relied on.
+/// Returns why the entry `own`, whose replica is complete at `revision`, should read the
+/// store itself: always before its first read and while peers have changes that it
+/// cannot fetch from them, else when its zone has too few readers.
+pub fn read_reason(
+    now: Millis,
+    own: &str,
+    zone: &str,
+    watch: &StoreWatch,
+    revision: u64,
+    peers: &Peers,
+) -> Option<Reason> {
+    if revision == 0 {
+        Some(Reason::FirstRead)
+    } else if watch.is_stuck(now) {
+        Some(Reason::Behind)
+    } else {
+        should_read(now, own, zone, peers).then_some(Reason::Rank)
+    }
+}
+
+/// Returns true when fewer than two entries of the zone with smaller names than `own`
+/// are readers that can be relied on.
 pub fn should_read(now: Millis, own: &str, zone: &str, peers: &Peers) -> bool {
     let earlier = peers.with_role(Role::Entry).filter(|peer| {
         peer.zone == zone
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -82,6 +82,8 @@
     StoreTotal = "store.total", Counter, "calls", "code", "calls to the platform's store, by result code, 0 for an answer";
     PeerPushed = "peer.pushed", Counter, "datagrams", "", "datagrams whose changes of the store completed the own replica";
     PeerFetched = "peer.fetched", Counter, "calls", "code", "calls to a peer for changes of the store, by result code, 0 for an answer";
+    StoreRead = "store.read_bytes", Counter, "bytes", "", "bytes of values that the platform's store has sent";
+    PeerRead = "peer.read_bytes", Counter, "bytes", "", "bytes of values that peers have sent when asked for changes of the store";
     LogLeftOut = "log.left_out", Counter, "lines", "", "log lines beyond the bound of their kind";
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
     UpstreamLimited = "upstream.limited", Gauge, "upstreams", "", "upstreams that limit the requests of all entries together";
--- a/src/table/replica.rs
+++ b/src/table/replica.rs
@@ -34,6 +34,14 @@
 }
 }
 
+impl Delta {
+    /// Returns the length of all values, in bytes.
+    pub fn size(&self) -> usize {
+        let values = self.docs.iter().filter_map(|doc| doc.value.as_ref());
+        values.map(Bytes::len).sum()
+    }
+}
+
 /// Copy of the store's documents in one process.
 ///
 /// # Invariants
