--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -6,6 +6,7 @@
 use chervilquay::member::peers::Peer;
 use chervilquay::member::peers::Peers;
 use chervilquay::member::peers::Role;
+use chervilquay::member::store_watch::read_reason;
 use chervilquay::member::store_watch::should_read;
 use chervilquay::time::Millis;
 
@@ -165,3 +166,50 @@
     watch.on_progress();
     assert!(!watch.is_stuck(Millis(5_700)));
 }
+
+/// Returns how many of `count` entries of one zone read the store at `now`. All are complete
+/// at `revision`, no entry is a reliable reader, and entries of other zones have told them
+/// at `behind` that there is more.
+fn reading_when_behind(count: usize, revision: u64, behind: Millis, now: Millis) -> usize {
+    let reads = |own: &usize| {
+        let mut peers = Peers::default();
+        for other in (0..count).filter(|other| other != own) {
+            let state = Peer {
+                revision,
+                ..peer(other, "z", false, now.0)
+            };
+            peers.update(state);
+        }
+        peers.update(Peer {
+            revision: 9,
+            ..peer(99, "other", true, now.0)
+        });
+        let mut watch = StoreWatch::default();
+        watch.on_behind(behind);
+        read_reason(now, &name(*own), "z", &watch, revision, &peers).is_some()
+    };
+    (0..count).filter(reads).count()
+}
+
+/// Guards against a zone that is late as a whole and reads with all of its entries: their
+/// answers share one link, and none arrives in time.
+#[test]
+fn late_zone_reads_with_few() {
+    let behind = Millis(20_000);
+    for late in [0, 700, 1_000, 2_000, 3_000] {
+        let now = behind.plus(Millis(late));
+        let reading = reading_when_behind(20, 5, behind, now);
+        assert!((1..=4).contains(&reading), "{reading} read after {late} ms");
+    }
+}
+
+/// Guards against entries that start together and all list the whole store.
+#[test]
+fn starting_zone_reads_with_few() {
+    let start = Millis(20_000);
+    for late in [300, 1_000, 2_000, 3_000] {
+        let now = start.plus(Millis(late));
+        let reading = reading_when_behind(20, 0, start, now);
+        assert!((1..=4).contains(&reading), "{reading} read after {late} ms");
+    }
+}
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -133,6 +133,9 @@
 #[derive(Clone, Default)]
 pub struct Store {
     docs: Arc<Mutex<Vec<(String, String, u64)>>>,
+    /// Bytes of an answer that are sent at once, each a tenth of a second after the last; 0
+    /// for all.
+    pace: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -151,6 +154,27 @@
         (store, addr)
     }
 
+    /// Sends answers at this rate from now on, in bytes a tenth of a second.
+    pub fn slow_down(&self, pace: usize) {
+        self.pace.store(pace, Ordering::Relaxed);
+    }
+
+    /// Sends an answer, at the rate that is set.
+    fn respond(&self, stream: &mut TcpStream, body: &[u8]) {
+        let pace = self.pace.load(Ordering::Relaxed);
+        if pace == 0 {
+            return answer(stream, 200, &[], body);
+        }
+        let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n", body.len());
+        let _ = stream.write_all(head.as_bytes());
+        for part in body.chunks(pace) {
+            thread::sleep(Duration::from_millis(100));
+            if stream.write_all(part).is_err() {
+                return;
+            }
+        }
+    }
+
     /// Writes a key with the next revision.
     pub fn put(&self, key: &str, value: &serde_json::Value) {
         let mut docs = self.docs.lock().unwrap();
@@ -199,7 +223,7 @@
                 let (items, at) = self.after(0);
                 json!({"items": items, "has_more": false, "store_revision": at})
             };
-            answer(&mut stream, 200, &[], body.to_string().as_bytes());
+            self.respond(&mut stream, body.to_string().as_bytes());
         }
     }
 }
@@ -697,6 +721,20 @@
     standin::config(version, &routes).1
 }
 
+/// Returns a configuration with `count` routes, which all allow `timeout` milliseconds.
+pub fn large_config(version: u64, count: u64, timeout: u64) -> serde_json::Value {
+    let routes = (0..count).map(|index| {
+        let mark = index.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        json!({"name": format!("r-{mark:x}"), "host": format!("h{mark:x}.example"),
+            "prefix": format!("/{mark:x}/"), "kind": "idempotent", "timeout_ms": timeout + index % 7,
+            "slo_ms": 500, "priority": 1, "service": "s", "max_attempts": 2, "public": false})
+    });
+    let mut document = config(version);
+    let listed = document["routes"].as_array_mut().unwrap();
+    listed.extend(routes);
+    document
+}
+
 /// Returns the registration of a runner as the store has it.
 pub fn registered(addr: SocketAddr) -> serde_json::Value {
     standin::registration("s", addr, 1, true)
