store_watch: Let the entries of a zone that are late take turns at the store

Callers were answered by a configuration up to 8 s old in all zones but the store's. A zone that was behind as a whole read the store with each of its entries, for three reasons: they were behind for 700 ms, no reader was reliable, or they had just started. Their answers (285 KB of values each) shared one link of 30 Mbit/s, none arrived within the limits, and all asked again.

Entries that are equally late now read two at a time in the order of their names, beside the first two; the others fetch from these. An entry that starts listens for 200 ms and asks its zone first.

--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -74,6 +74,8 @@
     let store = Store::new(node.settings().store);
     let mut failures = 0_u32;
     let mut last_reason = None;
+    node.cluster().watch.on_behind(node.now());
+    smol::Timer::after(store_watch::FIRST_READ_DELAY.duration()).await;
     loop {
         let reason = read_reason(&node);
         if reason != std::mem::replace(&mut last_reason, reason) {
@@ -115,13 +117,16 @@
 
 /// Returns why this entry should read the store; none when others do.
 fn read_reason(node: &Node) -> Option<Reason> {
+    let now = node.now();
+    let settings = node.settings();
+    let (name, zone) = (&settings.name, &settings.zone);
+    let is_short = store_watch::should_read(now, name, zone, &node.peers());
     let (watch, revision) = {
-        let cluster = node.cluster();
+        let mut cluster = node.cluster();
+        cluster.watch.note_readers(now, is_short);
         (cluster.watch, cluster.replica.revision())
     };
-    let settings = node.settings();
-    let (name, zone) = (&settings.name, &settings.zone);
-    store_watch::read_reason(node.now(), name, zone, &watch, revision, &node.peers())
+    store_watch::read_reason(now, name, zone, &watch, revision, &node.peers())
 }
 
 /// Returns true when others may rely on this process for changes of the store.
--- a/src/member/store_watch.rs
+++ b/src/member/store_watch.rs
@@ -6,6 +6,7 @@
 //! only a few entries of each zone read. The others fetch changes from them, and
 //! take over when the readers fall silent or lose the store.
 
+use crate::member::peers::Peer;
 use crate::member::peers::Peers;
 use crate::member::peers::Role;
 use crate::prelude::*;
@@ -25,6 +26,17 @@
 /// room for one fetch that times out and the answer of another peer.
 const MAX_BEHIND: Millis = Millis(700);
 
+/// Time for which a process that has just started only listens, so that it learns of
+/// others from which it can fetch what the store holds.
+pub const FIRST_READ_DELAY: Millis = Millis(200);
+
+/// Entries beyond the first two of a zone that may try to read at the same time.
+const TURN_SIZE: usize = 2;
+
+/// Time after which the turn to read passes to the next entries of a zone. A store that
+/// can be reached answers within it.
+const TURN: Millis = Millis(250);
+
 /// Time for which a read waits at the store for a change. Each call is paid
 /// for, but other entries of the zone rely on a reader that has lost the store
 /// for up to this time.
@@ -99,6 +111,8 @@
     ended_wait: bool,
     /// When a peer first had changes that this process still lacks.
     behind_since: Option<Millis>,
+    /// Since when the zone has had too few readers with smaller names.
+    short_since: Option<Millis>,
 }
 
 impl StoreWatch {
@@ -196,6 +210,11 @@
         self.behind_since = None;
     }
 
+    /// Records whether the zone has too few readers with smaller names.
+    pub fn note_readers(&mut self, now: Millis, is_short: bool) {
+        self.short_since = is_short.then(|| self.short_since.unwrap_or(now));
+    }
+
     /// Returns true when peers have had changes for 700 ms and this process got
     /// none of them. It may receive the datagrams of readers while its own calls
     /// do not reach them.
@@ -214,8 +233,13 @@
 }
 
 /// Returns why the entry `own`, whose replica is complete at `revision`, should read the
-/// store itself: always before its first read and while peers have changes that it
-/// cannot fetch from them, else when its zone has too few readers.
+/// store itself: before its first read, while peers have changes that it cannot fetch from
+/// them, or when its zone has too few readers.
+///
+/// Answers a fleet of which most entries start again, or are late, while a large document
+/// changes: the answers to all of them together do not fit on the link to the store. So the
+/// entries of a zone that are equally late take turns. Those that are not in turn fetch from
+/// the others what these have read.
 pub fn read_reason(
     now: Millis,
     own: &str,
@@ -224,13 +248,45 @@
     revision: u64,
     peers: &Peers,
 ) -> Option<Reason> {
+    let near: Vec<&Peer> = peers
+        .with_role(Role::Entry)
+        .filter(|peer| {
+            let is_live = peer.started > 0 && now.since(peer.last_heard) < READER_TIMEOUT;
+            is_live && peer.zone == zone
+        })
+        .collect();
+    let late = || near.iter().filter(|peer| peer.revision <= revision);
+    let has_source = near.iter().any(|peer| peer.revision > revision);
     if revision == 0 {
-        Some(Reason::FirstRead)
-    } else if watch.is_stuck(now) {
-        Some(Reason::Behind)
-    } else {
-        should_read(now, own, zone, peers).then_some(Reason::Rank)
+        let waited = watch.behind_since.map_or(Millis(0), |at| now.since(at));
+        let may_fetch = has_source && waited < MAX_BEHIND;
+        let is_in_turn = is_in_turn(own, late(), waited);
+        return (!may_fetch && is_in_turn).then_some(Reason::FirstRead);
+    }
+    let waited = watch.behind_since.map_or(Millis(0), |at| now.since(at));
+    if watch.is_stuck(now) && is_in_turn(own, late(), waited.since(MAX_BEHIND)) {
+        return Some(Reason::Behind);
+    }
+    let short = watch.short_since.map_or(Millis(0), |at| now.since(at));
+    let may_read = watch.is_reliable(now) || is_in_turn(own, near.iter(), short);
+    (may_read && should_read(now, own, zone, peers)).then_some(Reason::Rank)
+}
+
+/// Returns true when the entry `own` may try to read the store, `waited` after it was first
+/// needed: always if it is one of the two with the smallest names among itself and `others`,
+/// else two at a time in the order of names.
+fn is_in_turn<'a>(own: &str, others: impl Iterator<Item = &'a &'a Peer>, waited: Millis) -> bool {
+    let (mut rank, mut count) = (0, 0);
+    for other in others {
+        rank += usize::from(other.name.as_str() < own);
+        count += 1;
+    }
+    if rank < READERS_PER_ZONE {
+        return true;
     }
+    let turns = (count + 1 - READERS_PER_ZONE).div_ceil(TURN_SIZE);
+    let passed = (waited.0 / TURN.0) as usize;
+    passed > 0 && (rank - READERS_PER_ZONE) / TURN_SIZE == (passed - 1) % turns
 }
 
 /// Returns true when fewer than two entries of the zone with smaller names than `own`
--- a/tests/removal_bound.rs
+++ b/tests/removal_bound.rs
@@ -399,10 +399,18 @@
             ReadState::Paused(until) if self.now < until => {}
             ReadState::Paused(_) => {
                 let p = &mut self.processes[own];
-                let is_needed = !p.view.replica.is_synced()
-                    || p.view.watch.is_stuck(now)
-                    || store_watch::should_read(now, &name(own), &zone(own), &p.peers);
-                if !is_needed {
+                let is_short = store_watch::should_read(now, &name(own), &zone(own), &p.peers);
+                p.view.watch.note_readers(now, is_short);
+                let revision = p.view.replica.revision();
+                let reason = store_watch::read_reason(
+                    now,
+                    &name(own),
+                    &zone(own),
+                    &p.view.watch,
+                    revision,
+                    &p.peers,
+                );
+                if reason.is_none() {
                     p.view.watch.on_idle();
                     p.read_state = ReadState::Paused(self.now + 100);
                     return;
