net: Read large answers of the store and of peers for as long as they arrive

Calls to the store had a limit on the whole answer (0.5 s to 2.5 s), and fetches from peers one of 600 ms.

A call now has limits on the time to the head, on the time without any byte and, so that a byte now and then does not keep it for ever, on the whole (10 s and 6 s). While an answer arrives, its reader counts as reliable.

--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -26,6 +26,7 @@
 use crate::net::client;
 use crate::net::client::Client;
 use crate::net::client::Limits;
+use crate::net::client::Patience;
 use crate::platform::store::Store;
 use crate::prelude::*;
 use crate::table::replica::Delta;
@@ -38,9 +39,12 @@
 /// if the change has not arrived within this time.
 const WATCH_HEAD_START: Duration = Duration::from_millis(30);
 
-/// Timeout of a fetch from a peer.
+/// Longest time until the answer of a peer begins, and without any byte of it then.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest time of a whole fetch from a peer.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Longest idle time after which a connection to a peer is used again: the peer may
 /// have been replaced since, and the call would fail.
 const PEER_IDLE: Duration = Duration::from_secs(2);
@@ -71,7 +75,11 @@
 
 /// Reads the store while this entry is needed as a reader; runs until dropped.
 pub async fn read_store(node: Node) {
-    let store = Store::new(node.settings().store);
+    let receiver = node.clone();
+    let store = Store::new(node.settings().store, move || {
+        let now = receiver.now();
+        receiver.cluster().watch.on_receiving(now);
+    });
     let mut failures = 0_u32;
     let mut last_reason = None;
     node.cluster().watch.on_behind(node.now());
@@ -181,7 +189,7 @@
 
 /// Reads the store itself while the agent knows no entry; runs until dropped.
 pub async fn read_store_without_entries(node: Node) {
-    let store = Store::new(node.settings().store);
+    let store = Store::new(node.settings().store, || {});
     let mut entry_seen = node.now();
     loop {
         smol::Timer::after(Duration::from_millis(250)).await;
@@ -282,8 +290,14 @@
         .header("host", peer.addr().to_string())
         .body(body::full(""))
         .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-    let call = client::exchange(peer, request, MAX_DELTA);
-    let (status, bytes) = client::timeout(PEER_TIMEOUT, Code::RpcFailed, call).await?;
+    let patience = Patience {
+        head: PEER_TIMEOUT,
+        stall: PEER_TIMEOUT,
+        total: FETCH_TIMEOUT,
+    };
+    let code = Code::RpcFailed;
+    let call = client::exchange_steadily(peer, request, MAX_DELTA, patience, code, || {});
+    let (status, bytes) = call.await?;
     if status != StatusCode::OK {
         return Err(Error::new(Code::RpcFailed, format!("status {status}")));
     }
--- a/src/member/store_watch.rs
+++ b/src/member/store_watch.rs
@@ -111,6 +111,8 @@
     ended_wait: bool,
     /// When a peer first had changes that this process still lacks.
     behind_since: Option<Millis>,
+    /// When a part of the answer to the present call last arrived.
+    receiving: Option<Millis>,
     /// Since when the zone has had too few readers with smaller names.
     short_since: Option<Millis>,
 }
@@ -153,6 +155,7 @@
     pub fn on_answer(&mut self, now: Millis) {
         self.last_answer = Some(now);
         self.failures = 0;
+        self.receiving = None;
         self.peer_news_since = None;
     }
 
@@ -162,9 +165,15 @@
         next.since(now)
     }
 
+    /// Records that a part of the answer to the present call has arrived.
+    pub fn on_receiving(&mut self, now: Millis) {
+        self.receiving = Some(now);
+    }
+
     /// Records a call that failed or timed out.
     pub fn on_failure(&mut self) {
         self.last_answer = None;
+        self.receiving = None;
         self.failures = self.failures.saturating_add(1);
     }
 
@@ -224,8 +233,15 @@
     }
 
     /// Returns true while other processes may rely on this reading: the store
-    /// has answered in time, and peers were not much earlier with changes.
+    /// has answered in time, and peers were not much earlier with changes; or a large
+    /// answer is arriving.
     pub fn is_reliable(&self, now: Millis) -> bool {
+        let is_receiving = self
+            .receiving
+            .is_some_and(|at| now.since(at) < ANSWER_GRACE);
+        if is_receiving && self.last_answer.is_some() {
+            return true;
+        }
         let max_age = CALL_GAP.plus(READ_WAIT).plus(ANSWER_GRACE);
         let peer_lead = self.peer_news_since.map_or(Millis(0), |at| now.since(at));
         self.last_answer.is_some_and(|at| now.since(at) <= max_age) && peer_lead < MAX_PEER_LEAD
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -14,6 +15,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body;
 use hyper::body::Frame;
+use hyper::body::SizeHint;
 use smol::channel::Receiver;
 use smol::stream::Stream;
 
@@ -136,6 +138,63 @@
     collect(&mut body, limit, MAX_FRAMES, &mut |_| true).await
 }
 
+/// Body that fails when none of its bytes arrive for some time.
+///
+/// Unlike a time limit on the whole body, this does not end a large one that arrives all the
+/// time.
+pub struct SteadyBody<B> {
+    body: B,
+    stall: Duration,
+    timer: smol::Timer,
+    on_data: Box<dyn FnMut() + Send>,
+}
+
+impl<B> SteadyBody<B> {
+    /// Wraps a body, which fails once nothing has arrived for `stall`. Calls `on_data` for
+    /// each part that arrives.
+    pub fn new(body: B, stall: Duration, on_data: impl FnMut() + Send + 'static) -> SteadyBody<B> {
+        SteadyBody {
+            body,
+            stall,
+            timer: smol::Timer::after(stall),
+            on_data: Box::new(on_data),
+        }
+    }
+}
+
+impl<B> Body for SteadyBody<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BoxError>>> {
+        let this = &mut *self;
+        if let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(cx) {
+            this.timer.set_after(this.stall);
+            (this.on_data)();
+            let frame = frame.map(|f| f.map_err(|e| BoxError::from(e.to_string())));
+            return Poll::Ready(frame);
+        }
+        match Pin::new(&mut this.timer).poll(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(_) => {
+                let detail = format!("nothing more within {} ms", this.stall.as_millis());
+                Poll::Ready(Some(Err(detail.into())))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Memory that all answer bodies read with [`read_with_budget`] share.
 #[derive(Debug)]
 pub struct MemoryBudget {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -26,6 +26,7 @@
 use crate::error::Run;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::body::SteadyBody;
 use crate::net::read_limit::HeadLimit;
 use crate::net::read_limit::LimitedStream;
 use crate::net::rt;
@@ -285,6 +286,42 @@
     Ok((status, bytes))
 }
 
+/// Time limits of a call whose answer may be large.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Longest time until the head of the answer.
+    pub head: Duration,
+    /// Longest time without any byte of its body.
+    pub stall: Duration,
+    /// Longest time of the whole call, for a server that sends a byte now and then.
+    pub total: Duration,
+}
+
+/// Sends a request and reads the whole answer as [`exchange`] does, for as long as it
+/// arrives. Fails with `code` when a limit is exceeded. Calls `on_data` for each part of the
+/// body.
+pub async fn exchange_steadily(
+    client: &Client,
+    request: Request<BoxBody>,
+    limit: usize,
+    patience: Patience,
+    code: Code,
+    on_data: impl FnMut() + Send + 'static,
+) -> Result<(StatusCode, Bytes)> {
+    let whole = async {
+        let answer = timeout(patience.head, code, client.send(request)).await?;
+        let (response, kept) = Client::split(answer);
+        let status = response.status();
+        let steady = SteadyBody::new(response.into_body(), patience.stall, on_data);
+        let bytes = body::read(steady, limit)
+            .await
+            .map_err(|error| Error::new(code, error.detail))?;
+        client.give_back(kept);
+        Ok((status, bytes))
+    };
+    timeout(patience.total, code, whole).await
+}
+
 /// Waits for `future` for at most `limit`. After that time it is dropped, and the result
 /// is an error with `code`; it is then unknown whether the request was run.
 pub async fn timeout<T>(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,6 +15,7 @@
 use crate::net::client;
 use crate::net::client::Client;
 use crate::net::client::Limits;
+use crate::net::client::Patience;
 use crate::prelude::*;
 use crate::table::replica::Delta;
 use crate::table::replica::Doc;
@@ -22,9 +23,17 @@
 /// Longest time for connecting; the store usually answers in milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Longest time of a call that does not wait for changes.
+/// Longest time until the answer to a call that does not wait for changes begins.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Longest time without any byte of an answer that has begun. On a link that many answers
+/// share, each still gets its part within it.
+const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest time of a whole call beyond its wait. A document of 1 MB takes 3 s when ten
+/// answers share a link of 30 Mbit/s.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Largest answer, in bytes. A page holds about 1 MB of values, which base64 and
 /// JSON lengthen.
 const MAX_ANSWER: usize = 8 << 20;
@@ -34,9 +43,10 @@
 const MAX_PAGES: usize = 1_000;
 
 /// Client of the platform's key-value store, which gives every change a revision.
-#[derive(Debug)]
 pub struct Store {
     client: Client,
+    /// Called for each part of an answer that arrives.
+    on_data: Arc<dyn Fn() + Send + Sync>,
 }
 
 #[derive(Deserialize)]
@@ -71,8 +81,9 @@
 }
 
 impl Store {
-    /// Creates a client of the store at `addr`; it connects on the first call.
-    pub fn new(addr: SocketAddr) -> Store {
+    /// Creates a client of the store at `addr`; it connects on the first call. Calls
+    /// `on_data` for each part of an answer that arrives.
+    pub fn new(addr: SocketAddr, on_data: impl Fn() + Send + Sync + 'static) -> Store {
         let limits = Limits {
             connect_timeout: CONNECT_TIMEOUT,
             max_idle: 1,
@@ -80,6 +91,7 @@
         };
         Store {
             client: Client::with_limits(addr, limits),
+            on_data: Arc::new(on_data),
         }
     }
 
@@ -137,13 +149,28 @@
         }))
     }
 
-    async fn get(&self, path: &str, timeout: Duration) -> Result<(StatusCode, Bytes)> {
+    /// Sends a call and reads the answer, which must begin within `head`.
+    async fn get(&self, path: &str, head: Duration) -> Result<(StatusCode, Bytes)> {
         let request = Request::get(path)
             .header("host", self.client.addr().to_string())
             .body(body::full(""))
             .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-        let call = client::exchange(&self.client, request, MAX_ANSWER);
-        client::timeout(timeout, Code::PlatformUnavailable, call).await
+        let patience = Patience {
+            head,
+            stall: STALL_TIMEOUT,
+            total: head + TRANSFER_TIMEOUT,
+        };
+        let on_data = self.on_data.clone();
+        let code = Code::PlatformUnavailable;
+        let call = client::exchange_steadily(
+            &self.client,
+            request,
+            MAX_ANSWER,
+            patience,
+            code,
+            move || on_data(),
+        );
+        call.await
     }
 }
 
