config_service: Read large tables for as long as they arrive

The same fault as at the prepared machines' store, on the own interface: a query was given up 4 s after its wait, whatever had arrived, and the next one asked for the whole table again. A table that takes longer came into force never. The query now has limits on its head, on the time without any byte, and of 20 s on the whole.

tests/steady_transfer slow_table_is_read (20 bytes, one each 300 ms) failed before with 'nothing within 4000 ms'. Other calls with a limit on the whole were read: fetches between processes (3 s) ask the next peer and use late replies; pieces of weights are 48 KB each.

--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -311,11 +311,13 @@
     };
     let code = Code::RpcFailed;
     let call = client::exchange_steadily(peer, request, MAX_DELTA, patience, code, || {});
-    let (status, bytes) = call.await?;
-    if status != StatusCode::OK {
-        return Err(Error::new(Code::RpcFailed, format!("status {status}")));
+    let answer = call.await?;
+    if answer.status() != StatusCode::OK {
+        let detail = format!("status {}", answer.status());
+        return Err(Error::new(Code::RpcFailed, detail));
     }
-    DeltaDoc::decode(bytes).map_err(|e| Error::new(Code::ProtocolInvalid, e.to_string()))
+    DeltaDoc::decode(answer.into_body())
+        .map_err(|e| Error::new(Code::ProtocolInvalid, e.to_string()))
 }
 
 /// Answers a peer with the changes after the revision in its query, in packed form if it
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -307,17 +307,17 @@
     patience: Patience,
     code: Code,
     on_data: impl FnMut() + Send + 'static,
-) -> Result<(StatusCode, Bytes)> {
+) -> Result<Response<Bytes>> {
     let whole = async {
         let answer = timeout(patience.head, code, client.send(request)).await?;
         let (response, kept) = Client::split(answer);
-        let status = response.status();
-        let steady = SteadyBody::new(response.into_body(), patience.stall, on_data);
+        let (head, incoming) = response.into_parts();
+        let steady = SteadyBody::new(incoming, patience.stall, on_data);
         let bytes = body::read(steady, limit)
             .await
             .map_err(|error| Error::new(code, error.detail))?;
         client.give_back(kept);
-        Ok((status, bytes))
+        Ok(Response::from_parts(head, bytes))
     };
     timeout(patience.total, code, whole).await
 }
--- a/src/node/config_service.rs
+++ b/src/node/config_service.rs
@@ -10,15 +10,21 @@
 use crate::net::body;
 use crate::net::client;
 use crate::net::client::Client;
+use crate::net::client::Patience;
 use crate::node::Node;
 use crate::node::table_sync;
 use crate::prelude::*;
 use crate::table::doc;
 use crate::table::sync::Reading;
 
-/// Time that a query may take beyond the wait that it asks for.
+/// Longest time until the answer to a query begins, beyond the wait that it asks for, and
+/// without any byte of it then.
 const GRACE: Duration = Duration::from_secs(4);
 
+/// Longest time of a whole query, beyond its wait. Both tables, of 1 MB each, arrive within
+/// it at 1 Mbit/s.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Clients of the service's addresses; one is used until it fails, then the next.
 #[derive(Debug)]
 pub struct ConfigService {
@@ -71,27 +77,25 @@
         .header("host", client.addr().to_string())
         .body(body::full(""))
         .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
-    let limit = wait.duration() + GRACE;
-    client::timeout(limit, Code::PlatformUnavailable, exchange(client, request)).await
-}
-
-/// Sends a query and reads the key's index and text from the answer.
-async fn exchange(client: &Client, request: Request<body::BoxBody>) -> Result<Reading> {
-    let (response, kept) = Client::split(client.send(request).await?);
-    let status = response.status();
-    let index = response
+    let patience = Patience {
+        head: wait.duration() + GRACE,
+        stall: GRACE,
+        total: wait.duration() + TRANSFER_TIMEOUT,
+    };
+    let (limit, code) = (doc::MAX_VALUE_BYTES, Code::PlatformUnavailable);
+    let answer = client::exchange_steadily(client, request, limit, patience, code, || {}).await?;
+    let status = answer.status();
+    let index = answer
         .headers()
         .get("x-consul-index")
         .and_then(|v| v.to_str().ok())
         .and_then(|v| v.parse().ok())
         .unwrap_or(0);
-    let bytes = body::read(response.into_body(), doc::MAX_VALUE_BYTES).await?;
-    client.give_back(kept);
     if !status.is_success() {
         let detail = format!("{}: status {status}", client.addr());
         return Err(Error::new(Code::PlatformUnavailable, detail));
     }
-    let text = std::str::from_utf8(&bytes)
+    let text = std::str::from_utf8(answer.body())
         .map_err(|e| Error::new(Code::TableSyntax, e.to_string()))?
         .into();
     Ok(Reading { index, text })
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use serde::Deserialize;
 
@@ -106,8 +107,7 @@
         let mut after = String::new();
         for _ in 0..MAX_PAGES {
             let path = format!("/api/kv-range?prefix={prefix}&after={after}");
-            let (status, bytes) = self.get(&path, CALL_TIMEOUT).await?;
-            let page: PageDoc = decode(status, &bytes)?;
+            let page: PageDoc = decode(&self.get(&path, CALL_TIMEOUT).await?)?;
             first_revision.get_or_insert(page.store_revision);
             let next = page.items.last().map(|item| item.key.clone());
             for item in page.items {
@@ -136,11 +136,11 @@
     pub async fn watch(&self, prefix: &str, after: u64, call: Call) -> Result<Option<Delta>> {
         let wait_ms = call.wait.0;
         let path = format!("/api/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let (status, bytes) = self.get(&path, call.timeout.duration()).await?;
-        if status == StatusCode::GONE {
+        let answer = self.get(&path, call.timeout.duration()).await?;
+        if answer.status() == StatusCode::GONE {
             return Ok(None);
         }
-        let page: EventsDoc = decode(status, &bytes)?;
+        let page: EventsDoc = decode(&answer)?;
         let docs: Result<Vec<Doc>> = page.events.into_iter().map(decode_item).collect();
         Ok(Some(Delta {
             full: false,
@@ -150,7 +150,7 @@
     }
 
     /// Sends a call and reads the answer, which must begin within `head`.
-    async fn get(&self, path: &str, head: Duration) -> Result<(StatusCode, Bytes)> {
+    async fn get(&self, path: &str, head: Duration) -> Result<Response<Bytes>> {
         let request = Request::get(path)
             .header("host", self.client.addr().to_string())
             .body(body::full(""))
@@ -178,11 +178,11 @@
     Error::new(Code::PlatformUnavailable, format!("store: {detail}"))
 }
 
-fn decode<'a, T: Deserialize<'a>>(status: StatusCode, bytes: &'a [u8]) -> Result<T> {
-    if !status.is_success() {
-        return Err(unavailable(format!("status {status}")));
+fn decode<'a, T: Deserialize<'a>>(answer: &'a Response<Bytes>) -> Result<T> {
+    if !answer.status().is_success() {
+        return Err(unavailable(format!("status {}", answer.status())));
     }
-    serde_json::from_slice(bytes).map_err(|e| unavailable(e.to_string()))
+    serde_json::from_slice(answer.body()).map_err(|e| unavailable(e.to_string()))
 }
 
 /// Converts an item of the store.
--- a/tests/steady_transfer.rs
+++ b/tests/steady_transfer.rs
@@ -16,8 +16,10 @@
 use chervilquay::net::client::Patience;
 use chervilquay::net::client::exchange_steadily;
 use chervilquay::net::rt;
+use chervilquay::node::config_service;
+use chervilquay::time::Millis;
 use http::Request;
-use http::StatusCode;
+use http::Response;
 
 /// Length that the server states for the body of its answer, in bytes.
 const LENGTH: usize = 20;
@@ -45,7 +47,7 @@
 }
 
 /// Reads the answer of a server.
-fn read(addr: SocketAddr, stall: Duration, total: Duration) -> Result<(StatusCode, Bytes)> {
+fn read(addr: SocketAddr, stall: Duration, total: Duration) -> Result<Response<Bytes>> {
     let patience = Patience {
         head: Duration::from_secs(20),
         stall,
@@ -66,8 +68,18 @@
 fn slow_answer_is_read() {
     let pause = Duration::from_millis(40);
     let addr = serve(LENGTH, pause);
-    let (_, bytes) = read(addr, Duration::from_millis(700), Duration::from_secs(20)).expect("all");
-    assert_eq!(bytes.len(), LENGTH);
+    let answer = read(addr, Duration::from_millis(700), Duration::from_secs(20)).expect("all");
+    assert_eq!(answer.body().len(), LENGTH);
+}
+
+/// Guards against the same for the tables of the own interface.
+#[test]
+fn slow_table_is_read() {
+    let addr = serve(LENGTH, Duration::from_millis(300));
+    let client = Client::new(addr);
+    let reading = config_service::read(&client, "routes", 0, Millis(0));
+    let reading = rt::run(1, reading).expect("the whole table");
+    assert_eq!(reading.text.len(), LENGTH);
 }
 
 /// Guards against waiting for the rest of an answer whose server has fallen silent.
