--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -136,6 +136,8 @@
     /// Bytes of an answer that are sent at once, each a tenth of a second after the last; 0
     /// for all.
     pace: Arc<AtomicUsize>,
+    /// Times that the store has been restored from a copy.
+    era: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -162,10 +164,13 @@
     /// Sends an answer, at the rate that is set.
     fn respond(&self, stream: &mut TcpStream, body: &[u8]) {
         let pace = self.pace.load(Ordering::Relaxed);
+        let era = self.era.load(Ordering::Relaxed).to_string();
         if pace == 0 {
-            return answer(stream, 200, &[], body);
+            return answer(stream, 200, &[("Store-Era", &era)], body);
         }
-        let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n", body.len());
+        let length = body.len();
+        let head =
+            format!("HTTP/1.1 200 X\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n");
         let _ = stream.write_all(head.as_bytes());
         for part in body.chunks(pace) {
             thread::sleep(Duration::from_millis(100));
@@ -175,6 +180,18 @@
         }
     }
 
+    /// Returns a copy of the content.
+    pub fn copy(&self) -> Vec<(String, String, u64)> {
+        self.docs.lock().unwrap().clone()
+    }
+
+    /// Loses what was written after a copy was made. Later writes get the same revisions
+    /// again; calls that wait are cut.
+    pub fn restore(&self, copy: Vec<(String, String, u64)>) {
+        *self.docs.lock().unwrap() = copy;
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Writes a key with the next revision.
     pub fn put(&self, key: &str, value: &serde_json::Value) {
         let mut docs = self.docs.lock().unwrap();
@@ -212,8 +229,15 @@
                 let after = request.line.split("after=").nth(1).unwrap_or("0");
                 let after: u64 = after.split(['&', ' ']).next().unwrap().parse().unwrap();
                 let start = Instant::now();
+                let era = self.era.load(Ordering::Relaxed);
                 loop {
+                    if self.era.load(Ordering::Relaxed) != era {
+                        return;
+                    }
                     let (events, at) = self.after(after);
+                    if after > at {
+                        break serde_json::Value::Null;
+                    }
                     if !events.is_empty() || start.elapsed() > Duration::from_secs(2) {
                         break json!({"events": events, "store_revision": at});
                     }
@@ -223,6 +247,11 @@
                 let (items, at) = self.after(0);
                 json!({"items": items, "has_more": false, "store_revision": at})
             };
+            if body.is_null() {
+                let era = self.era.load(Ordering::Relaxed).to_string();
+                answer(&mut stream, 410, &[("Store-Era", &era)], b"");
+                continue;
+            }
             self.respond(&mut stream, body.to_string().as_bytes());
         }
     }
