store: Read the era of the store, and log when it rises

The header Store-Era of each answer is read into the changes; a listing whose pages differ in it fails. New line 'platform: store was restored from a copy'. No decision uses the era yet.

--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -82,6 +82,7 @@
     });
     let mut failures = 0_u32;
     let mut last_reason = None;
+    let mut last_era = None;
     node.cluster().watch.on_behind(node.now());
     smol::Timer::after(store_watch::FIRST_READ_DELAY.duration()).await;
     loop {
@@ -94,7 +95,7 @@
             smol::Timer::after(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let outcome = read(&node, &store).await;
+        let outcome = read(&node, &store, &mut last_era).await;
         let code = outcome.as_ref().err().map(|error| error.code);
         node.metrics().outcome(Metric::StoreTotal, code);
         match outcome {
@@ -147,8 +148,9 @@
     Millis(OUTAGE_BEATS * node.settings().heartbeat.0)
 }
 
-/// Reads the store once; returns true when the call before failed.
-async fn read(node: &Node, store: &Store) -> Result<bool> {
+/// Reads the store once; returns true when the call before failed. Logs when the era differs
+/// from the last one that was read.
+async fn read(node: &Node, store: &Store, last_era: &mut Option<u64>) -> Result<bool> {
     let (revision, call) = {
         let cluster = node.cluster();
         (cluster.replica.revision(), cluster.watch.next_call())
@@ -164,6 +166,13 @@
         // The first read, or the store no longer has the changes since then.
         None => store.list("").await?,
     };
+    if last_era
+        .replace(delta.era)
+        .is_some_and(|era| era != delta.era)
+    {
+        info!(node.log().logger(), "platform: store was restored from a copy";
+            "era" => delta.era, "revision" => delta.upto, "held" => revision);
+    }
     let (is_back, grace) = {
         let mut cluster = node.cluster();
         let is_back = cluster.store_answered(node.now(), least_outage(node));
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -478,6 +478,7 @@
             value: key.value,
         };
         Delta {
+            era: 0,
             full: self.whole,
             upto: self.upto,
             docs: self.docs.into_iter().map(doc).collect(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -43,6 +43,10 @@
 /// another page does not keep the reader for ever.
 const MAX_PAGES: usize = 1_000;
 
+/// Header of each answer with the era of the store. It rises each time that the store has been
+/// restored from an older copy; revisions of different eras cannot be compared.
+const ERA: &str = "store-era";
+
 /// Client of the platform's key-value store, which gives every change a revision.
 pub struct Store {
     client: Client,
@@ -104,10 +108,15 @@
     pub async fn list(&self, prefix: &str) -> Result<Delta> {
         let mut docs = Vec::new();
         let mut first_revision = None;
+        let mut era = None;
         let mut after = String::new();
         for _ in 0..MAX_PAGES {
             let path = format!("/api/kv-range?prefix={prefix}&after={after}");
-            let page: PageDoc = decode(&self.get(&path, CALL_TIMEOUT).await?)?;
+            let answer = self.get(&path, CALL_TIMEOUT).await?;
+            let page: PageDoc = decode(&answer)?;
+            if *era.get_or_insert(read_era(&answer)) != read_era(&answer) {
+                return Err(unavailable("restored during a listing".to_string()));
+            }
             first_revision.get_or_insert(page.store_revision);
             let next = page.items.last().map(|item| item.key.clone());
             for item in page.items {
@@ -118,6 +127,7 @@
                 None => {
                     let upto = first_revision.unwrap_or_default();
                     return Ok(Delta {
+                        era: era.unwrap_or_default(),
                         full: true,
                         upto,
                         docs,
@@ -143,6 +153,7 @@
         let page: EventsDoc = decode(&answer)?;
         let docs: Result<Vec<Doc>> = page.events.into_iter().map(decode_item).collect();
         Ok(Some(Delta {
+            era: read_era(&answer),
             full: false,
             upto: page.store_revision,
             docs: docs?,
@@ -185,6 +196,13 @@
     serde_json::from_slice(answer.body()).map_err(|e| unavailable(e.to_string()))
 }
 
+/// Returns the era of the store that made an answer; 0 when it does not say.
+fn read_era(answer: &Response<Bytes>) -> u64 {
+    let value = answer.headers().get(ERA);
+    let era = value.and_then(|v| v.to_str().ok()?.parse().ok());
+    era.unwrap_or(0)
+}
+
 /// Converts an item of the store.
 ///
 /// A value that is not valid base64 becomes empty: the key exists, and the decoder
--- a/src/table/replica.rs
+++ b/src/table/replica.rs
@@ -32,6 +32,8 @@
 common! { value
 /// Changes after one revision up to another, or a full listing.
 pub struct Delta {
+    /// Era of the store to which the revisions belong.
+    pub era: u64,
     /// True for a full listing: keys that are not in `docs` do not exist.
     pub full: bool,
     /// Revision up to which the changes are complete. Single documents may be newer.
@@ -129,6 +131,7 @@
             }
         };
         Delta {
+            era: 0,
             full,
             upto: self.revision,
             docs: self.docs.values().filter(is_wanted).cloned().collect(),
--- a/tests/change_dating.rs
+++ b/tests/change_dating.rs
@@ -56,6 +56,7 @@
     for hop in 1..=50_u64 {
         let now = Millis(100_000 + 40 * hop);
         let delta = Delta {
+            era: 0,
             full: false,
             upto: 1,
             docs: Vec::new(),
--- a/tests/cluster_view.rs
+++ b/tests/cluster_view.rs
@@ -25,6 +25,7 @@
 
 fn put(key: &str, revision: u64, text: Option<String>) -> Delta {
     Delta {
+        era: 0,
         full: false,
         upto: revision,
         docs: vec![Doc {
--- a/tests/packed_changes.rs
+++ b/tests/packed_changes.rs
@@ -24,6 +24,7 @@
 
 fn write(key: &str, revision: u64, value: &str) -> Delta {
     Delta {
+        era: 0,
         full: false,
         upto: revision,
         docs: vec![Doc {
--- a/tests/removal_bound.rs
+++ b/tests/removal_bound.rs
@@ -274,6 +274,7 @@
             value,
         }];
         self.store.apply(Delta {
+            era: 0,
             full: false,
             upto: revision,
             docs,
@@ -469,6 +470,7 @@
                 .take()
                 .unwrap_or_else(|| {
                     let listing = Delta {
+                        era: 0,
                         full: true,
                         upto: self.store.revision(),
                         docs: self.store.docs().cloned().collect(),
@@ -482,6 +484,7 @@
             listing
         } else if is_watch_silent {
             Delta {
+                era: 0,
                 full: false,
                 upto: revision,
                 docs: Vec::new(),
--- a/tests/replica_merge.rs
+++ b/tests/replica_merge.rs
@@ -17,7 +17,12 @@
 }
 
 fn delta(full: bool, upto: u64, docs: Vec<Doc>) -> Delta {
-    Delta { full, upto, docs }
+    Delta {
+        era: 0,
+        full,
+        upto,
+        docs,
+    }
 }
 
 fn value(replica: &Replica, key: &str) -> Option<Bytes> {
