replica: Compare revisions of the store only within an era

The restored store gives out revisions again. Replicas took all changes up to the highest revision of the former era for old ones; processes compared their revisions with each other in the same way.

How far a replica is complete is now a position: the era, then the revision. A full listing of a later era replaces everything; changes of an earlier one are ignored, wherever they come from; peers of another era get a full listing. What was known goes before the copy: the configuration has versions of its own, a registration counts only if it is more recent (by start and count of writes) than what is held or was removed, and one that is missing gets two seconds to be written again.

--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -264,6 +264,7 @@
             slots: engine.slots,
             draining: false,
             started: 1,
+            sequence: 0,
             holdings: vec![Holding {
                 model: "m".to_string(),
                 version: 1,
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -123,6 +123,7 @@
         let report = self.updater.report();
         json!({
             "name": self.node.settings().name,
+            "era": self.node.cluster().replica.position().era,
             "revision": self.node.cluster().replica.revision(),
             "upstream": self.updater.runner_id(),
             "complete": self.updater.complete_version(),
--- a/src/direct/cluster.rs
+++ b/src/direct/cluster.rs
@@ -11,6 +11,7 @@
 use crate::rollout::versions::Versions;
 use crate::table::replica::Delta;
 use crate::table::replica::Doc;
+use crate::table::replica::Position;
 use crate::table::replica::Replica;
 use crate::table::routing::Routing;
 
@@ -19,6 +20,9 @@
 /// is gone.
 const GRACE: Millis = Millis(2_000);
 
+/// Removed registrations that are remembered; the oldest are dropped beyond it.
+const MAX_REMOVED: usize = 1_024;
+
 common! { value
 /// A change of what is known, for the log.
 pub enum Change {
@@ -35,6 +39,8 @@
     VersionNamed(String, u64),
     /// A peer told when a version was named: it was unknown here, or dated later.
     VersionDated(String, u64, Millis),
+    /// The store was restored from an older copy, in this era; holds the former position too.
+    Restored(u64, Position),
     /// A document could not be decoded and is left out; holds the reason.
     Undecoded(String),
 }
@@ -54,6 +60,9 @@
     routing: Option<Arc<Routing>>,
     /// Upstreams without a registration, with the end of their grace period.
     missing: IndexMap<String, Millis>,
+    /// Incarnations whose registrations were removed, by id. A store that is restored lists
+    /// them again.
+    removed: IndexMap<String, Incarnation>,
     /// Time until which a registration that is found missing counts as expired
     /// rather than removed.
     grace_end: Millis,
@@ -68,6 +77,36 @@
     is_store_away: bool,
 }
 
+common! { key
+/// How recent a registration is: later starts and, within one, later writes are greater.
+struct Incarnation {
+    started: u64,
+    sequence: u64,
+}
+}
+
+impl Incarnation {
+    fn of(registration: &Registration) -> Incarnation {
+        Incarnation {
+            started: registration.started,
+            sequence: registration.sequence,
+        }
+    }
+}
+
+/// How changes of the replica are applied.
+struct Context {
+    now: Millis,
+    /// Time for which a version of weights may answer after the next one was named.
+    bound: Millis,
+    /// Time for which upstreams whose registrations are missing are kept.
+    grace: Millis,
+    /// True for the first changes of this process.
+    is_start: bool,
+    /// True for the listing of a store that was restored from an older copy.
+    is_restored: bool,
+}
+
 impl ClusterView {
     /// Returns the configuration in force; none before the first was read.
     pub fn routing(&self) -> Option<&Arc<Routing>> {
@@ -104,6 +143,17 @@
         is_back
     }
 
+    /// Records that the store has been restored from an older copy, which this process is about
+    /// to apply.
+    ///
+    /// Upstreams that registered after the copy was made are missing there until they write
+    /// again, however short the outage was.
+    pub fn store_restored(&mut self, now: Millis) {
+        self.answered_since = now;
+        self.no_expiry_until = now;
+        self.grace_end = now.plus(GRACE);
+    }
+
     /// Records that a peer, itself in no grace period, had changes from the store.
     ///
     /// A registration lives for `lifetime` without the store, so none can have
@@ -158,14 +208,30 @@
         grace: Millis,
     ) -> Vec<Change> {
         let is_start = !self.replica.is_synced();
-        if delta.upto > self.replica.revision() {
+        let former = self.replica.position();
+        let position = Position {
+            era: delta.era,
+            revision: delta.upto,
+        };
+        if position > former {
             self.watch.on_progress();
         }
         // Peers that fetch these changes from here get the same grace period.
         self.grace_end = self.grace_end.max(now.plus(grace));
         let mut changes = Vec::new();
+        let is_restored = self.replica.is_replaced_by(&delta);
+        if is_restored {
+            changes.push(Change::Restored(position.era, former));
+        }
+        let context = Context {
+            now,
+            bound,
+            grace,
+            is_start,
+            is_restored,
+        };
         for doc in self.replica.apply(delta) {
-            self.apply_doc(now, bound, &doc, grace, is_start, &mut changes);
+            self.apply_doc(&context, &doc, &mut changes);
         }
         changes
     }
@@ -195,18 +261,11 @@
     ///
     /// When a version was named is not known at the first read (`is_start`); later it
     /// is derived from the reading of the store.
-    fn apply_doc(
-        &mut self,
-        now: Millis,
-        bound: Millis,
-        doc: &Doc,
-        grace: Millis,
-        is_start: bool,
-        changes: &mut Vec<Change>,
-    ) {
+    fn apply_doc(&mut self, context: &Context, doc: &Doc, changes: &mut Vec<Change>) {
+        let (now, is_start) = (context.now, context.is_start);
         let key = &*doc.key;
         if key.starts_with(registry::PREFIX) {
-            let change = self.apply_member(now, key, doc.value.as_ref(), grace);
+            let change = self.apply_member(context, key, doc.value.as_ref());
             changes.extend(change);
             return;
         }
@@ -228,7 +287,8 @@
             match registry::decode_version(key, value) {
                 Ok((model, version)) => {
                     if is_start {
-                        self.versions.record(now, bound, is_start, &model, version);
+                        self.versions
+                            .record(now, context.bound, is_start, &model, version);
                     } else {
                         let naming = Naming {
                             at: self.watch.change_time(now),
@@ -247,31 +307,54 @@
     /// upstream that was leaving gets no grace period.
     fn apply_member(
         &mut self,
-        now: Millis,
+        context: &Context,
         key: &str,
         value: Option<&Bytes>,
-        grace: Millis,
     ) -> Option<Change> {
         let id = key.strip_prefix(registry::PREFIX)?.to_string();
         let Some(value) = value else {
             let was = self.members.get(&id)?;
-            if grace > Millis(0) && !was.draining {
-                self.missing.insert(id.clone(), now.plus(grace));
+            if context.grace > Millis(0) && !was.draining {
+                let until = context.now.plus(context.grace);
+                self.missing.insert(id.clone(), until);
                 return Some(Change::Missing(id));
             }
-            self.members.swap_remove(&id);
+            let was = self.members.swap_remove(&id)?;
+            if !context.is_restored {
+                self.note_removed(&was);
+            }
             return Some(Change::Gone(id));
         };
-        self.missing.swap_remove(&id);
         match registry::decode(key, value) {
+            Ok(registration) if context.is_restored && self.is_outdated(&registration) => None,
             Ok(registration) => {
+                self.missing.swap_remove(&id);
                 self.members.insert(id.clone(), registration);
                 Some(Change::Registered(id))
             }
             Err(error) => {
+                self.missing.swap_remove(&id);
                 self.members.swap_remove(&id);
                 Some(Change::Undecoded(error.detail))
             }
         }
     }
+
+    /// Remembers a registration that was removed.
+    fn note_removed(&mut self, registration: &Registration) {
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
+        let id = registration.id.clone();
+        self.removed.insert(id, Incarnation::of(registration));
+    }
+
+    /// Returns true for a registration from a copy of the store that is older than what is
+    /// known of the upstream: its later state, or its removal.
+    fn is_outdated(&self, registration: &Registration) -> bool {
+        let copied = Incarnation::of(registration);
+        let held = self.members.get(&registration.id).map(Incarnation::of);
+        let removed = self.removed.get(&registration.id);
+        held.is_some_and(|held| copied < held) || removed.is_some_and(|removed| copied <= *removed)
+    }
 }
--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -186,6 +186,9 @@
             Change::VersionDated(model, version, at) => {
                 info!(self.logger, "rollout: version dated"; "model" => model, "version" => version, "age_ms" => now.since(*at).0, "source" => source)
             }
+            Change::Restored(era, held) => {
+                info!(self.logger, "platform: store was restored from a copy"; "era" => era, "revision" => revision, "held_era" => held.era, "held_revision" => held.revision, "source" => source)
+            }
             Change::Undecoded(detail) => {
                 info!(self.logger, "platform: document left out"; "detail" => detail, "revision" => revision, "source" => source)
             }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -557,11 +557,12 @@
         let peers = self.node.peers();
         let peers: Vec<Value> = peers
             .iter()
-            .map(|p| json!({"name": p.name, "zone": p.zone, "revision": p.revision, "age_ms": now.since(p.last_heard).0}))
+            .map(|p| json!({"name": p.name, "zone": p.zone, "era": p.position.era, "revision": p.position.revision, "age_ms": now.since(p.last_heard).0}))
             .collect();
         json!({
             "name": self.node.settings().name,
             "config": cluster.routing().map_or(0, |r| r.version()),
+            "era": cluster.replica.position().era,
             "revision": cluster.replica.revision(),
             "running": placer.in_flight(),
             "upstreams": upstreams,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -35,6 +35,7 @@
 use crate::metric::Metric;
 use crate::net::rt;
 use crate::prelude::*;
+use crate::table::replica::Position;
 use crate::util::lock;
 
 /// Interval at which the own state is checked for changes to send.
@@ -145,7 +146,7 @@
             ip: from,
             zone: datagram.zone.clone(),
             started: datagram.born,
-            revision: datagram.revision,
+            position: datagram.position(),
             is_reader: datagram.reads,
             last_heard: now,
             interval: Millis(u64::from(datagram.interval)),
@@ -176,7 +177,7 @@
                         ip,
                         zone: listed.zone.clone(),
                         started: 0,
-                        revision: 0,
+                        position: Position::default(),
                         is_reader: false,
                         last_heard: now,
                         interval,
@@ -208,11 +209,11 @@
         let Some(changes) = datagram.changes.as_ref().or(datagram.packed.as_ref()) else {
             return;
         };
-        let revision = self.node.cluster().replica.revision();
-        if !datagram.reads || replication::is_reader(&self.node) {
+        let own = self.node.cluster().replica.position();
+        if !datagram.reads || changes.era != own.era || replication::is_reader(&self.node) {
             return;
         }
-        if let Some(mut doc) = changes.clone().completes(datagram.since, revision) {
+        if let Some(mut doc) = changes.clone().completes(datagram.since, own.revision) {
             if doc.unpack(&self.node.cluster().replica).is_err() {
                 // The changes are fetched, as the datagram tells a newer revision.
                 return;
@@ -225,7 +226,7 @@
     }
 
     /// Returns the changes of the own replica after `since`, if they fit in a datagram.
-    fn changes_after(&self, now: Millis, since: u64) -> Option<DeltaDoc> {
+    fn changes_after(&self, now: Millis, since: Position) -> Option<DeltaDoc> {
         let doc = self.node.changes_after(now, since, true);
         (!doc.whole && doc.encoded_len() <= MAX_CHANGES).then_some(doc)
     }
@@ -234,12 +235,15 @@
     /// for how long the store has answered that peer.
     fn compare_revision(&self, now: Millis, datagram: &Datagram) {
         let mut cluster = self.node.cluster();
-        cluster.peer_store_uptime(now, Millis(datagram.served_for));
-        if datagram.revision > cluster.replica.revision() {
+        let (own, position) = (cluster.replica.position(), datagram.position());
+        if position.era == own.era {
+            cluster.peer_store_uptime(now, Millis(datagram.served_for));
+        }
+        if position > own {
             cluster.watch.on_behind(now);
             // One pending message is enough: the receiver checks all peers.
             let _ = self.behind.try_send(());
-        } else if datagram.reads && datagram.revision == cluster.replica.revision() {
+        } else if datagram.reads && position == own {
             cluster.watch.on_complete(now);
         }
     }
@@ -260,12 +264,12 @@
             let current = self.datagram(now, count, false, true);
             let changes = Changes {
                 figures: has_new_figures(&last_near, &current),
-                revision: last.revision != current.revision && current.reads,
+                revision: last.position() != current.position() && current.reads,
                 urgent: has_urgent_change(&last, &current),
             };
             let targets = self.targets(now, changes);
             let pushed = if changes.revision && last.revision > 0 {
-                self.changes_after(now, last.revision)
+                self.changes_after(now, last.position())
             } else {
                 None
             };
@@ -332,14 +336,14 @@
     /// need.
     fn datagram(&self, now: Millis, listed: usize, hello: bool, near: bool) -> Datagram {
         let own = self.node.settings();
-        let (revision, versions, served_for) = {
+        let (position, versions, served_for) = {
             let cluster = self.node.cluster();
             // Sent until the bound has passed: a process that heard of a version
             // late, or was suspended, learns when it was named.
             let versions = cluster.versions.named_since(now.since(own.rollout_bound));
             let versions = versions.map(|n| NamedDoc::new(now, &n)).collect();
             (
-                cluster.replica.revision(),
+                cluster.replica.position(),
                 versions,
                 cluster.store_uptime(now).0,
             )
@@ -351,7 +355,8 @@
             zone: own.zone.clone(),
             ip: own.ip.to_string(),
             born: self.node.started(),
-            revision,
+            era: position.era,
+            revision: position.revision,
             reads,
             served_for,
             hello,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -21,6 +21,7 @@
 use crate::rollout::versions::NamedVersion;
 use crate::table::packing::Packer;
 use crate::table::replica::Delta;
+use crate::table::replica::Position;
 use crate::util::lock;
 
 /// Called after the view of the cluster has changed.
@@ -107,17 +108,17 @@
         lock(&self.inner.cluster)
     }
 
-    /// Returns the changes of the replica after a revision, with the rest of the grace
+    /// Returns the changes of the replica after a position, with the rest of the grace
     /// period. Large values are packed if `packs` is set.
-    pub fn changes_after(&self, now: Millis, revision: u64, packs: bool) -> DeltaDoc {
+    pub fn changes_after(&self, now: Millis, position: Position, packs: bool) -> DeltaDoc {
         let cluster = self.cluster();
-        let delta = cluster.replica.since(revision);
+        let delta = cluster.replica.changes_after(position);
         let grace = cluster.grace_left(now);
         let mut doc = DeltaDoc::new(delta.clone(), grace);
         if packs {
             doc.pack(
                 &delta,
-                revision,
+                position.revision,
                 &cluster.replica,
                 &mut lock(&self.inner.packer),
             );
--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -30,6 +30,7 @@
 use crate::platform::store::Store;
 use crate::prelude::*;
 use crate::table::replica::Delta;
+use crate::table::replica::Position;
 use slog::info;
 
 /// Interval at which an entry that does not read the store checks whether it should.
@@ -82,7 +83,6 @@
     });
     let mut failures = 0_u32;
     let mut last_reason = None;
-    let mut last_era = None;
     node.cluster().watch.on_behind(node.now());
     smol::Timer::after(store_watch::FIRST_READ_DELAY.duration()).await;
     loop {
@@ -95,7 +95,7 @@
             smol::Timer::after(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let outcome = read(&node, &store, &mut last_era).await;
+        let outcome = read(&node, &store).await;
         let code = outcome.as_ref().err().map(|error| error.code);
         node.metrics().outcome(Metric::StoreTotal, code);
         match outcome {
@@ -130,12 +130,12 @@
     let settings = node.settings();
     let (name, zone) = (&settings.name, &settings.zone);
     let is_short = store_watch::should_read(now, name, zone, &node.peers());
-    let (watch, revision) = {
+    let (watch, held) = {
         let mut cluster = node.cluster();
         cluster.watch.note_readers(now, is_short);
-        (cluster.watch, cluster.replica.revision())
+        (cluster.watch, cluster.replica.position())
     };
-    store_watch::read_reason(now, name, zone, &watch, revision, &node.peers())
+    store_watch::read_reason(now, name, zone, &watch, held, &node.peers())
 }
 
 /// Returns true when others may rely on this process for changes of the store.
@@ -148,34 +148,33 @@
     Millis(OUTAGE_BEATS * node.settings().heartbeat.0)
 }
 
-/// Reads the store once; returns true when the call before failed. Logs when the era differs
-/// from the last one that was read.
-async fn read(node: &Node, store: &Store, last_era: &mut Option<u64>) -> Result<bool> {
-    let (revision, call) = {
+/// Reads the store once; returns true when the call before failed.
+async fn read(node: &Node, store: &Store) -> Result<bool> {
+    let (held, call) = {
         let cluster = node.cluster();
-        (cluster.replica.revision(), cluster.watch.next_call())
+        (cluster.replica.position(), cluster.watch.next_call())
     };
     let asked = node.now();
-    let changes = if revision == 0 {
+    let changes = if held.revision == 0 {
         None
     } else {
-        store.watch("", revision, call).await?
+        store.watch("", held, call).await?
     };
     let delta = match changes {
-        Some(delta) => delta,
-        // The first read, or the store no longer has the changes since then.
-        None => store.list("").await?,
+        Some(delta) if delta.era == held.era => delta,
+        // The first read, or the store does not have the changes since then.
+        _ => store.list("", held.era).await?,
     };
-    if last_era
-        .replace(delta.era)
-        .is_some_and(|era| era != delta.era)
-    {
-        info!(node.log().logger(), "platform: store was restored from a copy";
-            "era" => delta.era, "revision" => delta.upto, "held" => revision);
+    if delta.era < held.era {
+        let detail = format!("answer of era {}, which has ended", delta.era);
+        return Err(Error::new(Code::PlatformUnavailable, detail));
     }
     let (is_back, grace) = {
         let mut cluster = node.cluster();
         let is_back = cluster.store_answered(node.now(), least_outage(node));
+        if cluster.replica.is_replaced_by(&delta) {
+            cluster.store_restored(node.now());
+        }
         cluster.watch.note_wait(node.now(), asked);
         (is_back, cluster.grace_left(node.now()))
     };
@@ -219,7 +218,8 @@
 /// Reads the whole store once, without a grace period.
 async fn read_once(node: &Node, store: &Store) -> Result<()> {
     let asked = node.now();
-    let delta = store.list("").await?;
+    let era = node.cluster().replica.position().era;
+    let delta = store.list("", era).await?;
     record_read(node, Metric::StoreRead, &delta, asked, "store");
     node.apply(delta, Millis(0), "store");
     Ok(())
@@ -234,11 +234,11 @@
         if is_reader(&node) {
             smol::Timer::after(WATCH_HEAD_START).await;
         }
-        let revision = node.cluster().replica.revision();
+        let held = node.cluster().replica.position();
         let zone = node.settings().zone.clone();
         let ahead: Vec<_> = {
             let peers = node.peers();
-            let ahead = peers.ahead(&zone, revision);
+            let ahead = peers.ahead(&zone, held);
             ahead
                 .into_iter()
                 .take(3)
@@ -251,7 +251,7 @@
             }
             let asked = node.now();
             let client = clients.entry(ip).or_insert_with(|| peer_client(&node, ip));
-            let outcome = fetch(&node, client, revision).await;
+            let outcome = fetch(&node, client, held).await;
             let code = outcome.as_ref().err().map(|error| error.code);
             node.metrics().outcome(Metric::PeerFetched, code);
             match outcome {
@@ -293,23 +293,24 @@
     Client::with_limits(node.internal_addr(ip), limits)
 }
 
-/// Fetches the changes after a revision from a peer, or everything when this process lacks a
+/// Fetches the changes after a position from a peer, or everything when this process lacks a
 /// value that the peer has packed them against.
-async fn fetch(node: &Node, peer: &Client, after: u64) -> Result<DeltaDoc> {
+async fn fetch(node: &Node, peer: &Client, after: Position) -> Result<DeltaDoc> {
     let mut doc = fetch_packed(peer, after).await?;
     if let Err(error) = doc.unpack(&node.cluster().replica) {
         info!(node.log().logger(), "table: changes cannot be unpacked"; &error);
     } else {
         return Ok(doc);
     }
-    let mut doc = fetch_packed(peer, 0).await?;
+    let mut doc = fetch_packed(peer, Position::default()).await?;
     doc.unpack(&node.cluster().replica)?;
     Ok(doc)
 }
 
-/// Fetches the changes after a revision from a peer, with large values in packed form.
-async fn fetch_packed(peer: &Client, after: u64) -> Result<DeltaDoc> {
-    let request = Request::get(format!("{PATH}?after={after}&packed=1"))
+/// Fetches the changes after a position from a peer, with large values in packed form.
+async fn fetch_packed(peer: &Client, after: Position) -> Result<DeltaDoc> {
+    let Position { era, revision } = after;
+    let request = Request::get(format!("{PATH}?after={revision}&era={era}&packed=1"))
         .header("host", peer.addr().to_string())
         .body(body::full(""))
         .map_err(|e| Error::new(Code::Internal, e.to_string()))?;
@@ -329,7 +330,7 @@
         .map_err(|e| Error::new(Code::ProtocolInvalid, e.to_string()))
 }
 
-/// Answers a peer with the changes after the revision in its query, in packed form if it
+/// Answers a peer with the changes after the position in its query, in packed form if it
 /// says so; 503 before the own replica has been read.
 pub fn answer_peer(node: &Node, request: &Request<Incoming>) -> Response<BoxBody> {
     let query = request.uri().query().unwrap_or_default();
@@ -344,7 +345,11 @@
         return response;
     }
     let now = node.now();
-    let doc = node.changes_after(now, field("after"), field("packed") != 0);
+    let after = Position {
+        era: field("era"),
+        revision: field("after"),
+    };
+    let doc = node.changes_after(now, after, field("packed") != 0);
     let cluster = node.cluster();
     let doc = doc.with_named(now, cluster.versions.named_since(Millis(0)));
     Response::new(body::full(doc.encode_to_vec()))
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -19,6 +19,7 @@
 use crate::table::packing::Packer;
 use crate::table::replica::Delta;
 use crate::table::replica::Doc;
+use crate::table::replica::Position;
 use crate::table::replica::Replica;
 
 /// State of a process, which it sends to others many times a second.
@@ -92,9 +93,20 @@
     /// so they are not in `changes`.
     #[prost(message, optional, tag = "23")]
     pub packed: Option<DeltaDoc>,
+    /// Era of the store to which `revision` belongs.
+    #[prost(uint64, tag = "24")]
+    pub era: u64,
 }
 
 impl Datagram {
+    /// Returns how far the sender's replica is complete.
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+
     /// Sets the changes of the replica after the revision `since`.
     pub fn set_changes(&mut self, changes: Option<DeltaDoc>, since: u64) {
         self.since = if changes.is_some() { since } else { 0 };
@@ -288,6 +300,9 @@
     /// Versions of weights that were named, as the sender dates them.
     #[prost(message, repeated, tag = "5")]
     pub named: Vec<NamedDoc>,
+    /// Era of the store to which the revisions belong.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// One key of the replica.
@@ -389,6 +404,7 @@
             packed: None,
         };
         DeltaDoc {
+            era: delta.era,
             whole: delta.full,
             upto: delta.upto,
             docs: delta.docs.into_iter().map(key).collect(),
@@ -415,7 +431,7 @@
                 true => None,
                 false => replica.value_at(&doc.key, revision),
             };
-            if let Some(packed) = packer.pack(doc, base.as_ref()) {
+            if let Some(packed) = packer.pack(delta.era, doc, base.as_ref()) {
                 key.value = None;
                 key.packed = Some(PackedDoc::new(packed));
             }
@@ -478,7 +494,7 @@
             value: key.value,
         };
         Delta {
-            era: 0,
+            era: self.era,
             full: self.whole,
             upto: self.upto,
             docs: self.docs.into_iter().map(doc).collect(),
--- a/src/member/peers.rs
+++ b/src/member/peers.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexSet;
 
 use crate::prelude::*;
+use crate::table::replica::Position;
 use crate::util;
 
 /// Shortest time without a datagram after which a process is removed.
@@ -44,8 +45,8 @@
     /// When it started, in milliseconds by its own wall clock; 0 until it has
     /// described itself.
     pub started: u64,
-    /// Revision of the store up to which its replica is complete.
-    pub revision: u64,
+    /// How far its replica of the store is complete.
+    pub position: Position,
     /// True when it reads the store and other processes may rely on it.
     pub is_reader: bool,
     /// When it was last heard of, by the clock of this process.
@@ -154,10 +155,10 @@
         self.table.is_empty()
     }
 
-    /// Returns the processes whose replica is ahead of `revision`: those of
+    /// Returns the processes whose replica is ahead of `position`: those of
     /// `zone` first, then by the time at which they were last heard of.
-    pub fn ahead(&self, zone: &str, revision: u64) -> Vec<&Peer> {
-        let ahead = self.table.values().filter(|p| p.revision > revision);
+    pub fn ahead(&self, zone: &str, position: Position) -> Vec<&Peer> {
+        let ahead = self.table.values().filter(|p| p.position > position);
         let mut ahead: Vec<&Peer> = ahead.collect();
         ahead.sort_by_key(|p| (p.zone != zone, std::cmp::Reverse(p.last_heard)));
         ahead
--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -36,6 +36,8 @@
     /// When it started, in milliseconds by its own wall clock; 0 when it does
     /// not state it.
     pub started: u64,
+    /// Number of its writes since it started, as it counts them; 0 when it does not.
+    pub sequence: u64,
     /// Versions of models that it has loaded; empty for a plain service.
     pub holdings: Vec<Holding>,
 }
--- a/src/member/store_watch.rs
+++ b/src/member/store_watch.rs
@@ -10,6 +10,7 @@
 use crate::member::peers::Peers;
 use crate::member::peers::Role;
 use crate::prelude::*;
+use crate::table::replica::Position;
 
 /// Entries of a zone that read the store, so that one of them may be lost.
 const READERS_PER_ZONE: usize = 2;
@@ -248,7 +249,7 @@
     }
 }
 
-/// Returns why the entry `own`, whose replica is complete at `revision`, should read the
+/// Returns why the entry `own`, whose replica is complete at `position`, should read the
 /// store itself: before its first read, while peers have changes that it cannot fetch from
 /// them, or when its zone has too few readers.
 ///
@@ -261,7 +262,7 @@
     own: &str,
     zone: &str,
     watch: &StoreWatch,
-    revision: u64,
+    position: Position,
     peers: &Peers,
 ) -> Option<Reason> {
     let near: Vec<&Peer> = peers
@@ -271,9 +272,9 @@
             is_live && peer.zone == zone
         })
         .collect();
-    let late = || near.iter().filter(|peer| peer.revision <= revision);
-    let has_source = near.iter().any(|peer| peer.revision > revision);
-    if revision == 0 {
+    let late = || near.iter().filter(|peer| peer.position <= position);
+    let has_source = near.iter().any(|peer| peer.position > position);
+    if position.revision == 0 {
         let waited = watch.behind_since.map_or(Millis(0), |at| now.since(at));
         let may_fetch = has_source && waited < MAX_BEHIND;
         let is_in_turn = is_in_turn(own, late(), waited);
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -30,6 +30,9 @@
     /// When the runner started, in milliseconds by its own wall clock.
     #[serde(default)]
     born: u64,
+    /// Number of its writes.
+    #[serde(default)]
+    seq: u64,
     #[serde(default)]
     models: Vec<ModelDoc>,
     /// Loaded layers; null when nothing is loaded.
@@ -88,6 +91,7 @@
         slots: doc.slots,
         draining,
         started: doc.born,
+        sequence: doc.seq,
         holdings: holdings(&doc.models, doc.layers.as_ref()),
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -20,6 +20,7 @@
 use crate::prelude::*;
 use crate::table::replica::Delta;
 use crate::table::replica::Doc;
+use crate::table::replica::Position;
 
 /// Longest time for connecting; the store usually answers in milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -100,21 +101,22 @@
         }
     }
 
-    /// Reads all keys under `prefix`.
+    /// Reads all keys under `prefix`; `era` is assumed if the store names none.
     ///
     /// The pages are not a snapshot: later ones may hold newer values. The listing
     /// therefore has the revision of its first page, and the next call of `watch`
     /// returns again what has changed since then.
-    pub async fn list(&self, prefix: &str) -> Result<Delta> {
+    pub async fn list(&self, prefix: &str, era: u64) -> Result<Delta> {
         let mut docs = Vec::new();
         let mut first_revision = None;
-        let mut era = None;
+        let mut first_era = None;
         let mut after = String::new();
         for _ in 0..MAX_PAGES {
             let path = format!("/api/kv-range?prefix={prefix}&after={after}");
             let answer = self.get(&path, CALL_TIMEOUT).await?;
             let page: PageDoc = decode(&answer)?;
-            if *era.get_or_insert(read_era(&answer)) != read_era(&answer) {
+            let page_era = read_era(&answer).unwrap_or(era);
+            if *first_era.get_or_insert(page_era) != page_era {
                 return Err(unavailable("restored during a listing".to_string()));
             }
             first_revision.get_or_insert(page.store_revision);
@@ -127,7 +129,7 @@
                 None => {
                     let upto = first_revision.unwrap_or_default();
                     return Ok(Delta {
-                        era: era.unwrap_or_default(),
+                        era: page_era,
                         full: true,
                         upto,
                         docs,
@@ -138,14 +140,16 @@
         Err(unavailable("listing does not end".to_string()))
     }
 
-    /// Waits for changes of keys under `prefix` after the revision `after`, for the
-    /// times in `call`.
+    /// Waits for changes of keys under `prefix` after the position `after`, for the
+    /// times in `call`. The changes may be of another era, whose revisions have nothing to do
+    /// with those of `after`.
     ///
     /// Returns `None` when the store no longer keeps the changes since that
     /// revision; the caller must list all keys then.
-    pub async fn watch(&self, prefix: &str, after: u64, call: Call) -> Result<Option<Delta>> {
+    pub async fn watch(&self, prefix: &str, after: Position, call: Call) -> Result<Option<Delta>> {
         let wait_ms = call.wait.0;
-        let path = format!("/api/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let revision = after.revision;
+        let path = format!("/api/kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
         let answer = self.get(&path, call.timeout.duration()).await?;
         if answer.status() == StatusCode::GONE {
             return Ok(None);
@@ -153,7 +157,7 @@
         let page: EventsDoc = decode(&answer)?;
         let docs: Result<Vec<Doc>> = page.events.into_iter().map(decode_item).collect();
         Ok(Some(Delta {
-            era: read_era(&answer),
+            era: read_era(&answer).unwrap_or(after.era),
             full: false,
             upto: page.store_revision,
             docs: docs?,
@@ -196,11 +200,10 @@
     serde_json::from_slice(answer.body()).map_err(|e| unavailable(e.to_string()))
 }
 
-/// Returns the era of the store that made an answer; 0 when it does not say.
-fn read_era(answer: &Response<Bytes>) -> u64 {
-    let value = answer.headers().get(ERA);
-    let era = value.and_then(|v| v.to_str().ok()?.parse().ok());
-    era.unwrap_or(0)
+/// Returns the era of the store that made an answer, if it says.
+fn read_era(answer: &Response<Bytes>) -> Option<u64> {
+    let value = answer.headers().get(ERA)?;
+    value.to_str().ok()?.parse().ok()
 }
 
 /// Converts an item of the store.
--- a/src/table/packing.rs
+++ b/src/table/packing.rs
@@ -8,6 +8,7 @@
 
 use crate::prelude::*;
 use crate::table::replica::Doc;
+use crate::table::replica::Position;
 
 /// Least length of a value that is packed, in bytes; shorter ones fit in a datagram.
 pub const LARGE: usize = 600;
@@ -36,19 +37,23 @@
 /// Packs values, and keeps the last ones.
 #[derive(Clone, Debug, Default)]
 pub struct Packer {
-    /// Key, revision and packed value.
-    kept: VecDeque<(Arc<str>, u64, Packed)>,
+    /// Key, position and packed value.
+    kept: VecDeque<(Arc<str>, Position, Packed)>,
 }
 
 impl Packer {
-    /// Packs the value of `doc` against `base`, an earlier value of its key with its
+    /// Packs the value of `doc`, of the store's era `era`, against `base`, an earlier value of its key with its
     /// revision. Returns none when that fails or the value is short; it is sent as it is
     /// then.
-    pub fn pack(&mut self, doc: &Doc, base: Option<&(u64, Bytes)>) -> Option<Packed> {
+    pub fn pack(&mut self, era: u64, doc: &Doc, base: Option<&(u64, Bytes)>) -> Option<Packed> {
         let value = doc.value.as_ref().filter(|value| value.len() >= LARGE)?;
         let base_revision = base.map_or(0, |(revision, _)| *revision);
-        let is_same = |(key, revision, packed): &&(Arc<str>, u64, Packed)| {
-            *key == doc.key && *revision == doc.revision && packed.base == base_revision
+        let position = Position {
+            era,
+            revision: doc.revision,
+        };
+        let is_same = |(key, at, packed): &&(Arc<str>, Position, Packed)| {
+            *key == doc.key && *at == position && packed.base == base_revision
         };
         if let Some((_, _, packed)) = self.kept.iter().find(is_same) {
             return Some(packed.clone());
@@ -62,7 +67,7 @@
         if self.kept.len() >= MAX_KEPT {
             self.kept.pop_front();
         }
-        let kept = (doc.key.clone(), doc.revision, packed.clone());
+        let kept = (doc.key.clone(), position, packed.clone());
         self.kept.push_back(kept);
         Some(packed)
     }
--- a/src/table/replica.rs
+++ b/src/table/replica.rs
@@ -4,6 +4,9 @@
 //! applied every change up to a revision is complete at that revision, whatever
 //! process the changes came from. So processes can take changes from each other
 //! without a protocol for agreement.
+//!
+//! A store that is restored from an older copy gives out revisions again, in a new era.
+//! Nothing is compared by its revision over eras.
 
 use std::collections::VecDeque;
 
@@ -29,6 +32,17 @@
 }
 }
 
+common! { key
+/// How far a replica is complete. Positions order by era first.
+#[derive(Default)]
+pub struct Position {
+    /// Era of the store; 0 for a store that does not name one.
+    pub era: u64,
+    /// Revision within the era; 0 before the first listing or changes.
+    pub revision: u64,
+}
+}
+
 common! { value
 /// Changes after one revision up to another, or a full listing.
 pub struct Delta {
@@ -55,9 +69,10 @@
 ///
 /// # Invariants
 ///
-/// `revision` never decreases, and neither does the revision of a key.
+/// The position never goes back. Neither does the revision of a key within an era.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
+    era: u64,
     revision: u64,
     /// Revision after which every removal is kept in `docs`.
     removals_floor: u64,
@@ -75,6 +90,19 @@
         self.revision
     }
 
+    /// Returns the era and the revision up to which the replica is complete.
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+
+    /// Returns true if applying `delta` replaces what is held, as it comes from a later era.
+    pub fn is_replaced_by(&self, delta: &Delta) -> bool {
+        self.is_synced() && delta.full && delta.era > self.era
+    }
+
     /// Returns true once the replica has been complete at some revision.
     pub fn is_synced(&self) -> bool {
         self.revision > 0
@@ -96,8 +124,17 @@
     /// do no harm. A change of a key that is not in the replica, although the
     /// replica is complete up to the revision of the change, is ignored too: the
     /// key has been removed since, and its removal was never received or was
-    /// dropped.
+    /// dropped. Changes from an earlier era are ignored, and so are those from a later one
+    /// unless they are a full listing, which replaces everything.
     pub fn apply(&mut self, delta: Delta) -> Vec<Doc> {
+        if self.is_replaced_by(&delta) {
+            return self.replace(delta);
+        }
+        if !self.is_synced() {
+            self.era = delta.era;
+        } else if delta.era != self.era {
+            return Vec::new();
+        }
         let mut changed = Vec::new();
         let complete_to = self.revision;
         if delta.full && delta.upto >= self.revision {
@@ -119,6 +156,48 @@
         changed
     }
 
+    /// Replaces everything by a full listing of a later era, and returns the keys that have
+    /// another value there or are missing.
+    fn replace(&mut self, delta: Delta) -> Vec<Doc> {
+        let former = std::mem::take(self);
+        self.era = delta.era;
+        self.revision = delta.upto;
+        self.removals_floor = delta.upto;
+        let mut changed = Vec::new();
+        for doc in delta.docs {
+            let held = former.docs.get(&doc.key);
+            if held.is_none_or(|held| held.value != doc.value) {
+                changed.push(doc.clone());
+            }
+            self.put(doc);
+        }
+        let missing = former
+            .docs()
+            .filter(|doc| !self.docs.contains_key(&doc.key));
+        let missing: Vec<Doc> = missing
+            .map(|doc| Doc {
+                key: doc.key.clone(),
+                revision: delta.upto,
+                value: None,
+            })
+            .collect();
+        for doc in missing {
+            self.put(doc.clone());
+            changed.push(doc);
+        }
+        changed
+    }
+
+    /// Returns the changes after a position, or a full listing when it is in another era or
+    /// not all removals since then are known.
+    pub fn changes_after(&self, position: Position) -> Delta {
+        if position.era == self.era {
+            self.since(position.revision)
+        } else {
+            self.since(0)
+        }
+    }
+
     /// Returns the changes after `revision`, or a full listing when not all
     /// removals since then are known.
     pub fn since(&self, revision: u64) -> Delta {
@@ -131,7 +210,7 @@
             }
         };
         Delta {
-            era: 0,
+            era: self.era,
             full,
             upto: self.revision,
             docs: self.docs.values().filter(is_wanted).cloned().collect(),
--- a/tests/peer_schedule.rs
+++ b/tests/peer_schedule.rs
@@ -11,6 +11,7 @@
 use chervilquay::member::schedule::Kind;
 use chervilquay::member::schedule::Schedule;
 use chervilquay::member::schedule::Sender;
+use chervilquay::table::replica::Position;
 use chervilquay::time::Millis;
 
 const ZONES: usize = 5;
@@ -25,7 +26,7 @@
         ip: IpAddr::from([10, 0, (index / 250) as u8, (index % 250) as u8]),
         zone: format!("z{}", index / 2 % ZONES),
         started: 1,
-        revision: 1,
+        position: Position::default(),
         is_reader: false,
         last_heard: Millis(0),
         interval: Millis(0),
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -32,6 +32,7 @@
         slots: 16,
         draining: false,
         started: 1,
+        sequence: 0,
         holdings: holdings(version),
     }
 }
--- a/tests/removal_bound.rs
+++ b/tests/removal_bound.rs
@@ -402,13 +402,13 @@
                 let p = &mut self.processes[own];
                 let is_short = store_watch::should_read(now, &name(own), &zone(own), &p.peers);
                 p.view.watch.note_readers(now, is_short);
-                let revision = p.view.replica.revision();
+                let position = p.view.replica.position();
                 let reason = store_watch::read_reason(
                     now,
                     &name(own),
                     &zone(own),
                     &p.view.watch,
-                    revision,
+                    position,
                     &p.peers,
                 );
                 if reason.is_none() {
@@ -513,7 +513,11 @@
             FollowState::Waiting(_) => {
                 let p = &mut self.processes[own];
                 let revision = p.view.replica.revision();
-                let ahead = p.peers.ahead(&zone(own), revision).into_iter().take(3);
+                let ahead = p
+                    .peers
+                    .ahead(&zone(own), p.view.replica.position())
+                    .into_iter()
+                    .take(3);
                 let peers: Vec<usize> = ahead
                     .map(|peer| peer.name[1..].parse().expect("a number"))
                     .collect();
@@ -590,7 +594,7 @@
             ip: IpAddr::from([10, 0, 0, own as u8]),
             zone: zone(own),
             started: p.started,
-            revision,
+            position: p.view.replica.position(),
             is_reader,
             last_heard: now,
             interval: Millis(900),
@@ -628,10 +632,10 @@
             let p = &mut self.processes[datagram.to];
             let mut peer = datagram.peer;
             peer.last_heard = Millis(self.now);
-            let revision = peer.revision;
+            let position = peer.position;
             p.view
                 .peer_store_uptime(Millis(self.now), datagram.served_for);
-            if p.peers.update(peer) && revision > p.view.replica.revision() {
+            if p.peers.update(peer) && position > p.view.replica.position() {
                 p.is_behind = true;
                 p.view.watch.on_behind(Millis(self.now));
             }
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -8,12 +8,18 @@
 use chervilquay::member::peers::Role;
 use chervilquay::member::store_watch::read_reason;
 use chervilquay::member::store_watch::should_read;
+use chervilquay::table::replica::Position;
 use chervilquay::time::Millis;
 
 fn name(index: usize) -> String {
     format!("e{index:02}")
 }
 
+/// Returns the position at a revision of the first era.
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn peer(index: usize, zone: &str, is_reader: bool, last_heard: u64) -> Peer {
     Peer {
         name: name(index),
@@ -21,7 +27,7 @@
         ip: IpAddr::from([10, 0, 0, index as u8]),
         zone: zone.to_string(),
         started: 1,
-        revision: 1,
+        position: at(1),
         is_reader,
         last_heard: Millis(last_heard),
         interval: Millis(250),
@@ -175,18 +181,18 @@
         let mut peers = Peers::default();
         for other in (0..count).filter(|other| other != own) {
             let state = Peer {
-                revision,
+                position: at(revision),
                 ..peer(other, "z", false, now.0)
             };
             peers.update(state);
         }
         peers.update(Peer {
-            revision: 9,
+            position: at(9),
             ..peer(99, "other", true, now.0)
         });
         let mut watch = StoreWatch::default();
         watch.on_behind(behind);
-        read_reason(now, &name(*own), "z", &watch, revision, &peers).is_some()
+        read_reason(now, &name(*own), "z", &watch, at(revision), &peers).is_some()
     };
     (0..count).filter(reads).count()
 }
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -18,6 +18,7 @@
         slots: 16,
         draining: false,
         started,
+        sequence: 0,
         holdings: Vec::new(),
     }
 }
