relay: End a stream when something follows that is no event of it

Reported by other operators: clients found an error's text, or its whole head, in the middle of their stream, or a stream that ended with it as if it were complete. It could happen here: events without an id were passed on, so a 200 with an error's text from the runner that went on with a stream, and the second answer of a runner whose stream ends with its connection, reached the caller, followed by a clean end.

After an event with an id, anything but events with ids and comments now cuts the stream. The events before it are written first.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -1,6 +1,8 @@
 //! Passes the events of a stream on to its caller, and resumes the stream at
 //! another upstream when the first breaks off or stays silent.
 
+use std::time::Duration;
+
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -32,6 +34,10 @@
 /// after which an upstream is given up.
 const MAX_REPEATED_BYTES: usize = 1 << 20;
 
+/// Time in which events are written to the caller before its connection is cut: the HTTP
+/// library drops what it still holds when a body fails.
+const FLUSH_TIME: Duration = Duration::from_millis(2);
+
 /// Returns the response body that passes on a stream of events.
 ///
 /// The body owns the stream from the upstream: when the caller disconnects, the
@@ -54,6 +60,7 @@
                     Ok(false) => {}
                     Err(error) => {
                         relay.fail(&error);
+                        smol::Timer::after(FLUSH_TIME).await;
                         yield Err(BoxError::from(error));
                         return;
                     }
@@ -133,7 +140,8 @@
 
 impl Relay {
     /// Returns true for the next event, which is to be passed on, and false for one
-    /// that the caller already has; fails when an event is missing between.
+    /// that the caller already has; fails when an event is missing between, or when
+    /// bytes follow that are no event of the stream, such as an error or a second answer.
     fn check_event(&mut self, event: &crate::net::events::Event) -> Result<bool> {
         let now = self.entry.node.now();
         if let (Some(id), Some(last)) = (event.id, self.last_event)
@@ -142,6 +150,10 @@
             self.repeated_bytes += event.bytes.len();
             return Ok(false);
         }
+        if event.id.is_none() && self.last_event.is_some() && !event.is_comment() {
+            let error = Error::new(Code::UpstreamLost, "bytes without an id after events");
+            return Err(error.with_run(Run::Partial));
+        }
         self.longest_pause = self.longest_pause.max(now.since(self.last_at));
         self.last_at = now;
         self.reset_event_limits();
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -26,6 +26,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns true when it consists of comments, which servers send to keep a stream open.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 impl Framer {
     /// Adds bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -144,15 +144,7 @@
     /// Starts the store and returns its address.
     pub fn start(ip: Ipv4Addr) -> (Store, SocketAddr) {
         let store = Store::default();
-        let listener = listen(ip);
-        let addr = listener.local_addr().unwrap();
-        let held = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let held = held.clone();
-                thread::spawn(move || held.serve(stream));
-            }
-        });
+        let addr = store.serve_at(ip);
         (store, addr)
     }
 
@@ -192,8 +184,27 @@
         self.era.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Serves the same content at another address, which is returned.
+    pub fn serve_at(&self, ip: Ipv4Addr) -> SocketAddr {
+        let listener = listen(ip);
+        let addr = listener.local_addr().unwrap();
+        let held = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let held = held.clone();
+                thread::spawn(move || held.serve(stream));
+            }
+        });
+        addr
+    }
+
     /// Writes a key with the next revision.
     pub fn put(&self, key: &str, value: &serde_json::Value) {
+        self.put_text(key, &value.to_string());
+    }
+
+    /// Writes a key with a value that need not be JSON.
+    pub fn put_text(&self, key: &str, value: &str) {
         let mut docs = self.docs.lock().unwrap();
         let revision = docs.iter().map(|d| d.2).max().unwrap_or(0) + 1;
         docs.retain(|d| d.0 != key);
@@ -303,6 +314,9 @@
     /// Sends the answer to the request before on the connection once more, if there was
     /// one, and then its own; both as streams of one event where the flag is set.
     CopyFirst(bool),
+    /// Sends the refusal of the request before on the connection once more, if there was one,
+    /// and then answers `whole`.
+    RefuseAgain,
     /// Sends these events, each after this time, and ends the stream.
     Spaced(u64, u64, u64),
     /// Sends these bytes after the usual status line and headers, and closes the
@@ -563,6 +577,13 @@
                         }
                     }
                 }
+                Act::RefuseAgain => {
+                    if let Some(id) = &previous {
+                        let refusal = [("X-Request-Id", id.as_str()), ("X-Not-Run", "1")];
+                        answer(&mut stream, 503, &refusal, b"");
+                    }
+                    answer(&mut stream, 200, &own, b"whole");
+                }
                 Act::Spaced(from, to, ms) => {
                     stream_head(&mut stream, &id);
                     for number in from..=to {
