table: Read at once after a query of the configuration service is lost

A query that was lost was followed by one that waits for up to 30 s for a change from the index held before. The next query after a lost one now reads at once, without an index. Tables themselves are ordered by the operators' revision and do not go back.

tests/table_sync_order lost_query_is_followed_by_a_full_read failed before: (40, 30000 ms) for (0, 0 ms).

--- a/src/table/sync/watch.rs
+++ b/src/table/sync/watch.rs
@@ -155,8 +155,12 @@
 
     /// Schedules the next query after a random pause, so that readers do not query
     /// at the same time after an outage.
+    ///
+    /// It reads at once: a service that has restarted, or come back from an older copy, gives
+    /// out indexes again, and one that equals the last says nothing of the value.
     fn back_off(&mut self, now: Millis, rng: &mut fastrand::Rng) {
         self.state = State::Idle;
+        self.index = 0;
         let limit = BACKOFF_START.0 << self.failures.min(8);
         let limit = limit.min(BACKOFF_MAX.0);
         self.failures = self.failures.saturating_add(1);
--- a/tests/table_sync_order.rs
+++ b/tests/table_sync_order.rs
@@ -34,11 +34,15 @@
 
 impl Harness {
     fn new(seeds: usize) -> Harness {
+        Harness::with_mode(seeds, SyncMode::Peers)
+    }
+
+    fn with_mode(seeds: usize, sync_mode: SyncMode) -> Harness {
         let settings = Settings {
             addr: texts::addr(0),
             zone: texts::zone(0, 1),
             seeds: (1..=seeds).map(texts::addr).collect(),
-            sync_mode: SyncMode::Peers,
+            sync_mode,
             parsers: Parsers::default(),
         };
         let core = Core::new(settings, fastrand::Rng::with_seed(3));
@@ -336,3 +340,44 @@
     assert_eq!(harness.core.live().vms.len(), 5);
     assert!(harness.core.notice().live_index > 51, "peers will fetch it");
 }
+
+/// Guards against waiting for a change that has been made already: a service that restarts, or
+/// comes back from an older copy, gives out the same indexes again.
+#[test]
+fn lost_query_is_followed_by_a_full_read() {
+    let mut harness = Harness::with_mode(0, SyncMode::Poll);
+    let mut answered = 0;
+    let mut lost = 0;
+    for _ in 0..80 {
+        for action in std::mem::take(&mut harness.out) {
+            let Action::Read {
+                call,
+                key,
+                index,
+                wait,
+            } = action
+            else {
+                continue;
+            };
+            if lost == 1 && key == ConfigKey::Routes {
+                assert_eq!((index, wait), (0, Millis(0)));
+                return;
+            }
+            // The first query that waits for a change of the routes is lost.
+            let is_lost = key == ConfigKey::Routes && index > 0;
+            lost += usize::from(is_lost);
+            answered += usize::from(!is_lost);
+            let text = match key {
+                ConfigKey::Pools => texts::pools(SHAPE, 1, 0, texts::addr),
+                _ => texts::routes(SHAPE, 1, 0),
+            };
+            let reading = (!is_lost).then(|| Reading {
+                index: 40,
+                text: text.as_str().into(),
+            });
+            harness.event(Event::Read { call, key, reading });
+        }
+        harness.advance(250);
+    }
+    panic!("{answered} reads, {lost} lost, and no other of the routes");
+}
