--- a/tests/foreign_bytes.rs
+++ b/tests/foreign_bytes.rs
@@ -1,29 +1,22 @@
 //! What other operators reported: odd registrations, refusals that are sent twice, and errors
 //! in the middle of a stream. With the real entry process.
 
-#![allow(
-    clippy::allow_attributes,
-    clippy::unwrap_used,
-    dead_code,
-    reason = "a failed step ends the test; other tests use more of the stand-ins"
-)]
-
-#[path = "support/prepared.rs"]
-mod prepared;
+mod support;
 
 use std::net::Ipv4Addr;
 
-use prepared::Act;
-use prepared::Entry;
-use prepared::Message;
-use prepared::Runner;
-use prepared::Store;
-use prepared::numbers;
-use prepared::request;
-use prepared::send;
-use prepared::until;
 use serde_json::Value;
 use serde_json::json;
+use support::prepared;
+use support::prepared::Act;
+use support::prepared::Entry;
+use support::prepared::Message;
+use support::prepared::Runner;
+use support::prepared::Store;
+use support::prepared::numbers;
+use support::prepared::request;
+use support::prepared::send;
+use support::prepared::until;
 
 struct Setup {
     store: Store,
@@ -70,7 +63,7 @@
         format!(r#"{{"service":"s","layers":{text}}}"#)
     };
     let with = |field: &str, value: Value| {
-        let mut entry = prepared::registered("127.0.0.1:9".parse().unwrap());
+        let mut entry = prepared::registered("127.0.0.1:9".parse().expect("an address"));
         entry[field] = value;
         entry
     };
@@ -118,11 +111,7 @@
         }
         version += 1;
         setup.store.put("op/config", &prepared::config(version));
-        let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
-        until(|| {
-            let dump = send(setup.entry.internal, text).expect("the state").text();
-            dump.contains(&format!("\"config\": {version}"))
-        });
+        until(|| setup.entry.version() == version);
         assert!(setup.entry.is_running(), "{odd}");
     }
     // A new runner is still found, and a process that starts reads the whole list.
@@ -189,13 +178,7 @@
     setup
         .store
         .put("servers/i-2", &prepared::registered(setup.addrs[1]));
-    let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
-    until(|| {
-        send(setup.entry.internal, text)
-            .unwrap()
-            .text()
-            .contains("i-2")
-    });
+    until(|| setup.entry.dump()["upstreams"].to_string().contains("i-2"));
     for (index, error) in ERRORS.into_iter().enumerate() {
         for runner in &setup.runners {
             runner.clear_acts();
--- a/tests/peer_push.rs
+++ b/tests/peer_push.rs
@@ -11,14 +11,6 @@
 use support::prepared::Store;
 use support::prepared::send;
 
-/// Configuration that an entry has in force.
-fn version(entry: &Entry) -> u64 {
-    let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
-    let dump = send(entry.internal, text).expect("the state");
-    let state: serde_json::Value = serde_json::from_slice(&dump.body).expect("JSON");
-    state["config"].as_u64().expect("a number")
-}
-
 /// Value of a counter, over all its tags.
 fn counter(entry: &Entry, name: &str) -> f64 {
     let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -66,7 +58,7 @@
     let fetched = sum("chervilquay_peer_fetched");
     for change in 2..2 + CHANGES {
         store.put("op/config", &prepared::config(change));
-        prepared::until(|| entries.iter().all(|entry| version(entry) == change));
+        prepared::until(|| entries.iter().all(|entry| entry.version() == change));
     }
     let pushed = sum("chervilquay_peer_pushed");
     let fetched = sum("chervilquay_peer_fetched") - fetched;
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -1,32 +1,15 @@
 //! A store that comes back from an older copy: it has lost what it had acknowledged since
 //! then, and gives out revisions again.
 
-#![allow(
-    clippy::allow_attributes,
-    clippy::unwrap_used,
-    dead_code,
-    reason = "a failed step ends the test; other tests use more of the stand-ins"
-)]
-
-#[path = "support/prepared.rs"]
-mod prepared;
+mod support;
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
-use prepared::Entry;
-use prepared::Store;
-use prepared::config;
-use prepared::send;
-use prepared::until;
-
-/// Returns the version of the configuration in force.
-fn version(entry: &Entry) -> u64 {
-    let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
-    let dump = send(entry.internal, text).expect("the state");
-    let state: serde_json::Value = serde_json::from_slice(&dump.body).unwrap();
-    state["config"].as_u64().unwrap()
-}
+use support::prepared::Entry;
+use support::prepared::Store;
+use support::prepared::config;
+use support::prepared::until;
 
 /// Guards against changes that are taken for old ones, as the restored store gives them
 /// revisions that it had given out before.
@@ -41,12 +24,12 @@
     for number in 2..12 {
         store.put("op/config", &config(number));
     }
-    until(|| version(&entry) == 11);
+    until(|| entry.version() == 11);
     store.restore(copy);
     store.put("op/config", &config(12));
-    until(|| version(&entry) == 12);
+    until(|| entry.version() == 12);
     store.put("op/config", &config(13));
-    until(|| version(&entry) == 13);
+    until(|| entry.version() == 13);
 }
 
 /// Guards against the same where the store has been restored twice and given out more
@@ -60,14 +43,14 @@
     entry.until_ready();
     let copy = store.copy();
     store.put("op/config", &config(2));
-    until(|| version(&entry) == 2);
+    until(|| entry.version() == 2);
     for first in [3, 10] {
         store.restore(copy.clone());
         store.put("op/config", &config(first));
         for other in 0..first {
             store.put(&format!("other/{other}"), &serde_json::json!({}));
         }
-        until(|| version(&entry) == first);
+        until(|| entry.version() == first);
     }
 }
 
@@ -86,13 +69,13 @@
     for number in 2..8 {
         store.put("op/config", &config(number));
     }
-    until(|| entries.iter().all(|entry| version(entry) == 7));
+    until(|| entries.iter().all(|entry| entry.version() == 7));
     store.restore(copy);
     // What the operator wrote is written again.
     store.put("op/config", &config(7));
     entries.push(start(2));
     store.put("op/config", &config(8));
-    until(|| entries.iter().all(|entry| version(entry) == 8));
+    until(|| entries.iter().all(|entry| entry.version() == 8));
     store.put("op/config", &config(9));
-    until(|| entries.iter().all(|entry| version(entry) == 9));
+    until(|| entries.iter().all(|entry| entry.version() == 9));
 }
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -697,12 +697,21 @@
         std::fs::read_to_string(&self.log).unwrap()
     }
 
-    /// Returns the number of calls to runners that it counts as in progress.
-    pub fn running(&self) -> u64 {
+    /// Returns the state for operators.
+    pub fn dump(&self) -> serde_json::Value {
         let text = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n";
         let dump = send(self.internal, text).expect("the state");
-        let state: serde_json::Value = serde_json::from_slice(&dump.body).unwrap();
-        state["running"].as_u64().unwrap()
+        serde_json::from_slice(&dump.body).unwrap()
+    }
+
+    /// Returns the number of calls to runners that it counts as in progress.
+    pub fn running(&self) -> u64 {
+        self.dump()["running"].as_u64().unwrap()
+    }
+
+    /// Returns the version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.dump()["config"].as_u64().unwrap()
     }
 
     /// Returns true while the process runs.
