tests: Show that odd tables and live lists end no process

A report of other operators, on the own interface: documents nested 200,000 deep, numbers and ports out of range.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -103,6 +103,49 @@
     assert_serves(&system);
 }
 
+// Guards against processes that end, or follow the documents no longer, after one that is nested
+// very deeply, or has a number or a port out of range.
+#[test]
+fn odd_documents() {
+    let mut system = System::start("odd-documents");
+    system.until_serving();
+    let nested = [
+        "[".repeat(200_000),
+        format!("{}{}", "{a: ".repeat(50_000), "}".repeat(50_000)),
+        format!(
+            "revision: 9\nvms: {}{}",
+            "[".repeat(50_000),
+            "]".repeat(50_000)
+        ),
+        (0..2_000)
+            .map(|depth| " ".repeat(depth % 500) + "- ")
+            .collect(),
+    ];
+    let numbers = [
+        "revision: 99999999999999999999999999\n",
+        "revision: 1e400\n",
+        "revision: -1\n",
+        "vms:\n  v: {rpc: \"10.0.0.1:70000\", zone: a, region: r, leaving: false}\n",
+        "vms:\n  v: {rpc: \"10.0.0.1:-1\", zone: a, region: r, leaving: false}\n",
+        "vms:\n  v: {rpc: 17, zone: [], region: {}, leaving: 9e99}\n",
+    ];
+    let texts = nested.iter().map(String::as_str).chain(numbers);
+    for text in texts {
+        for key in ["live", "routes", "pools"] {
+            system.put(key, text);
+        }
+        // Readers query each key at most five times a second.
+        std::thread::sleep(std::time::Duration::from_millis(300));
+        assert_serves(&system);
+    }
+    for addr in system.entries.iter().map(|e| e.admin) {
+        assert!(dump(addr)["tables"]["revision"].is_u64());
+    }
+    system.publish(1, &[]);
+    system.until_serving();
+    assert_serves(&system);
+}
+
 // Guards against a daemon that starts with a setting that it does not know.
 #[test]
 fn bad_settings() {
