agent: Send each call to its engine on a connection of its own

Reported by other operators: a runner wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for calls that had run. On prepared machines answers name their request, and the entry checks that. The agent's engine and services do not: on the connection that the call before had used, a copy of that one's answer or refusal was the answer to the next call, tickets included.

Calls of callers to the engine now have a connection each, on the same VM. Orders and state still share one; the state is read again after each order.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -98,14 +98,13 @@
         }
     }
 
-    /// Sends a caller's request and returns the answer, whose body is not read yet.
+    /// Sends a caller's request on a connection of its own and returns the answer, whose body
+    /// is not read yet.
+    ///
+    /// Answers here do not name their request. On a connection that was used before, one that
+    /// is sent twice would be taken for the answer to the next request.
     pub async fn forward(&self, request: Request<BoxBody>) -> Result<Answer> {
-        self.client.send(request).await
-    }
-
-    /// Returns the connection of an answer that has been read whole, for reuse.
-    pub fn give_back(&self, kept: client::UsedConnection) {
-        self.client.give_back(kept);
+        self.client.send_fresh(request).await
     }
 
     /// Address of the engine.
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -194,7 +194,7 @@
         agent.loaded.invalidate();
         send_error(error)
     })?;
-    let (response, kept) = Client::split(answer);
+    let (response, _connection) = Client::split(answer);
     if kind == Kind::Engine && response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // The engine has lost its weights since its state was last read.
         agent.loaded.invalidate();
@@ -214,7 +214,6 @@
         (Kind::Engine, true) => copy_events(agent, body, &expected, frames).await?,
         (Kind::Engine, false) => copy_checked(agent, body, &expected, frames).await?,
     }
-    agent.engine.give_back(kept);
     admission::record_success(agent, &frames.fingerprint());
     let took = slot.complete();
     frames.send_done(took).await
--- a/src/agent/ticketed.rs
+++ b/src/agent/ticketed.rs
@@ -290,10 +290,9 @@
         .forward(message)
         .await
         .map_err(serve::send_error)?;
-    let (response, kept) = Client::split(answer);
+    let (response, _connection) = Client::split(answer);
     let (parts, incoming) = response.into_parts();
     let body = read_body(incoming).await?;
-    agent.engine.give_back(kept);
     if !is_service && parts.status.is_success() {
         serve::check_answer(agent, &body, &digest)?;
     }
