soak: Restore the store from a copy now and then

The stand-in for the store now names its era, can come back from a copy, and writes again what it lost then; the soak does that beside its other faults, with a generator of its own, so that the plan of each seed stays as it was.

--- a/src/platform/standin.rs
+++ b/src/platform/standin.rs
@@ -10,6 +10,7 @@
 use event_listener::Event;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
@@ -19,6 +20,7 @@
 use crate::net::body::BoxBody;
 use crate::platform::config;
 use crate::platform::registry;
+use crate::platform::store;
 use crate::prelude::*;
 use crate::util::lock;
 
@@ -29,14 +31,62 @@
     changed: Event,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Items {
+    /// Times that the store was restored from a copy.
+    era: u64,
     revision: u64,
     /// Revision and value by key; no value for a removed key.
     by_key: IndexMap<String, (u64, Option<String>)>,
 }
 
+/// Content of the store at one moment.
+pub struct StoreCopy(Items);
+
+/// What the store has lost when it came back from a copy.
+pub struct LostWrites {
+    /// Revision of the copy.
+    since: u64,
+    /// Keys that were written since, with their last values.
+    written: Vec<(String, Option<String>)>,
+}
+
 impl StoreStandin {
+    /// Returns a copy of the content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.items).clone())
+    }
+
+    /// Comes back from a copy: what was written since then is lost, and revisions are given
+    /// out again.
+    pub fn restore(&self, copy: StoreCopy) -> LostWrites {
+        let mut items = lock(&self.items);
+        let era = items.era + 1;
+        let lost = std::mem::replace(&mut *items, Items { era, ..copy.0 });
+        let since = items.revision;
+        drop(items);
+        self.changed.notify(usize::MAX);
+        let written = lost.by_key.into_iter().filter(|(_, (rev, _))| *rev > since);
+        LostWrites {
+            since,
+            written: written.map(|(key, (_, value))| (key, value)).collect(),
+        }
+    }
+
+    /// Writes again what was lost, but for keys that have been written since the restore.
+    pub fn rewrite(&self, lost: LostWrites) {
+        for (key, value) in lost.written {
+            let mut items = lock(&self.items);
+            let held = items.by_key.get(&key).map_or(0, |(revision, _)| *revision);
+            if held <= lost.since {
+                items.revision += 1;
+                let item = (items.revision, value);
+                items.by_key.insert(key, item);
+            }
+        }
+        self.changed.notify(usize::MAX);
+    }
+
     /// Writes a value, or removes the key when there is none, and wakes waiting reads.
     /// Calls after the return see the change.
     pub fn put(&self, key: &str, value: Option<&Value>) {
@@ -56,15 +106,29 @@
             let value = pairs.find(|(key, _)| *key == name);
             value.and_then(|(_, v)| v.parse().ok()).unwrap_or(0)
         };
+        let era = lock(&self.items).era;
         let doc = if request.uri().path() == "/api/kv-watch" {
-            self.events(number("after"), Duration::from_millis(number("wait_ms")))
-                .await
+            let wait = Duration::from_millis(number("wait_ms"));
+            let events = self.events(number("after"), wait).await;
+            if lock(&self.items).era != era || lock(&self.items).revision < number("after") {
+                return self.respond(StatusCode::GONE, String::new());
+            }
+            events
         } else {
             let (items, upto) = self.changes_after(0);
             let live = items.into_iter().filter(|item| item["removed"].is_null());
             json!({"items": live.collect::<Vec<_>>(), "has_more": false, "store_revision": upto})
         };
-        Response::new(body::full(doc.to_string()))
+        self.respond(StatusCode::OK, doc.to_string())
+    }
+
+    /// Returns a response that names the era of the store.
+    fn respond(&self, status: StatusCode, text: String) -> Response<BoxBody> {
+        let mut response = Response::new(body::full(text));
+        *response.status_mut() = status;
+        let era = lock(&self.items).era;
+        response.headers_mut().insert(store::ERA, era.into());
+        response
     }
 
     /// Waits for a change after the revision `after`, for at most `wait`, and returns the
@@ -73,10 +137,12 @@
         let timeout = async {
             smol::Timer::after(wait).await;
         };
+        let era = lock(&self.items).era;
         let change = async {
             loop {
                 let listener = self.changed.listen();
-                if !self.changes_after(after).0.is_empty() {
+                let is_restored = lock(&self.items).era != era;
+                if is_restored || !self.changes_after(after).0.is_empty() {
                     return;
                 }
                 listener.await;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -46,7 +46,7 @@
 
 /// Header of each answer with the era of the store. It rises each time that the store has been
 /// restored from an older copy; revisions of different eras cannot be compared.
-const ERA: &str = "store-era";
+pub(super) const ERA: &str = "store-era";
 
 /// Client of the platform's key-value store, which gives every change a revision.
 pub struct Store {
--- a/src/soak/faults.rs
+++ b/src/soak/faults.rs
@@ -154,6 +154,7 @@
     // At most one fault at a time per process, so that its signals do not overlap.
     let mut process_tasks: Vec<Option<Task<()>>> = harness.processes.iter().map(|_| None).collect();
     let mut version = 1;
+    tasks.push(rt::spawn(restore_store(harness.clone(), seed, length)));
     while started.elapsed() < length {
         smol::Timer::after(Duration::from_millis(rng.u64(GAP_MS.0..GAP_MS.1))).await;
         let duration = Duration::from_millis(rng.u64(100..3_000));
@@ -221,6 +222,36 @@
     lock(&harness.checker).on_fault_end(harness.now(), checker::STORE);
 }
 
+/// Lets the store come back from a copy now and then, until `length` has passed. What the
+/// operator and the upstreams wrote since the copy is written again soon after.
+async fn restore_store(harness: Arc<Harness>, seed: u64, length: Duration) {
+    /// Longest time until what was lost is written again, in milliseconds.
+    const REWRITE_MS: u64 = 800;
+    // A generator of its own: the plan of the other faults stays that of the seed.
+    let mut rng = Rng::with_seed(!seed);
+    let started = std::time::Instant::now();
+    loop {
+        smol::Timer::after(Duration::from_millis(rng.u64(300..3_000))).await;
+        let copy = harness.store.copy();
+        smol::Timer::after(Duration::from_millis(rng.u64(0..4_000))).await;
+        if started.elapsed() >= length {
+            return;
+        }
+        lock(&harness.checker).on_fault_start(checker::STORE);
+        for proxy in &harness.store_proxies {
+            proxy.set_fault(Fault::Reset);
+        }
+        smol::Timer::after(Duration::from_millis(rng.u64(0..2_000))).await;
+        let lost = harness.store.restore(copy);
+        for proxy in &harness.store_proxies {
+            proxy.set_fault(Fault::None);
+        }
+        smol::Timer::after(Duration::from_millis(rng.u64(0..REWRITE_MS))).await;
+        harness.store.rewrite(lost);
+        lock(&harness.checker).on_fault_end(harness.now(), checker::STORE);
+    }
+}
+
 /// Pauses, kills, stops or signals an entry process, depending on `kind`, and
 /// brings it back after all but the last: SIGHUP, which it survives.
 async fn fault_process(harness: Arc<Harness>, index: usize, kind: u32, duration: Duration) {
