soak: Do not take an older configuration for the next one

When the time limit for a configuration does not bind, an entry now counts as at the oldest one that fits what it did and is not older than what was seen of it. While the limit binds, the check is as before.

tests/soak_checker configuration_before_a_fault_is_not_the_next_one failed before (it also has a true reversal, which is reported).

--- a/src/soak/checker.rs
+++ b/src/soak/checker.rs
@@ -225,6 +225,16 @@
         let mut all = 0..self.configs.len();
         let oldest = all.clone().filter(matching).find(allowed);
         let newest = all.rfind(matching);
+        let observed = self.observed.get(&request.entry).copied();
+        // One that was kept from the store may still use any configuration that is not older
+        // than the last one seen of it; only the first of these is certain.
+        let seen = match is_bound {
+            true => oldest,
+            false => {
+                let from = observed.map_or(0, |observed| observed.index);
+                (from..self.configs.len()).find(matching)
+            }
+        };
         if is_bound && oldest.is_none() {
             let what = format!(
                 "{} used pool {} of an old configuration",
@@ -232,7 +242,6 @@
             );
             self.record_violation(now, &execution.id, &what);
         }
-        let observed = self.observed.get(&request.entry).copied();
         if let Some(observed) = observed {
             let is_behind = newest.is_none_or(|newest| newest < observed.index);
             if is_behind && request.sent > observed.at.plus(REVERT_GRACE) {
@@ -240,7 +249,7 @@
                 self.record_violation(now, &execution.id, &what);
             }
         }
-        if let Some(index) = oldest
+        if let Some(index) = seen
             && observed.is_none_or(|observed| index > observed.index)
         {
             self.observed
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -124,3 +124,29 @@
         "a paused process did not read it before it resumed"
     );
 }
+
+/// Guards against a report on an entry that was kept from the store while one configuration
+/// followed another, and back: the pool of the first is also that of the third.
+#[test]
+fn configuration_before_a_fault_is_not_the_next_one() {
+    let mut checker = Checker::default();
+    checker.on_config(Millis(1_000), "right");
+    checker.on_fault_start(STORE);
+    checker.on_config(Millis(2_000), "left");
+    let request = |checker: &mut Checker, id: &str, at: u64, pool| {
+        checker.on_sent(Millis(at), "e", id, "/moves/1");
+        checker.on_execution(Millis(at + 20), execution(id, "/moves/1", pool));
+    };
+    request(&mut checker, "a", 4_000, "right");
+    checker.on_config(Millis(5_000), "right");
+    request(&mut checker, "b", 5_010, "right");
+    request(&mut checker, "c", 5_500, "left");
+    assert!(
+        checker.violations().is_empty(),
+        "{:?}",
+        checker.violations()
+    );
+    request(&mut checker, "d", 6_000, "right");
+    request(&mut checker, "e", 6_500, "left");
+    assert_eq!(checker.violations().len(), 1, "a true reversal");
+}
