--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -39,10 +39,6 @@
 /// Age at which an agent's status report is ignored and the registry is used instead.
 const STATUS_EXPIRY: Millis = Millis(1_500);
 
-/// Age of an agent's last report from which its VM may stand still: two reports in a row
-/// are missing. Agents of other zones report half as often.
-const SILENCE: Millis = Millis(600);
-
 /// Age at which a reported pace is ignored. Other workloads on the same host
 /// change it many times a second.
 const PACE_EXPIRY: Millis = Millis(700);
@@ -728,9 +724,7 @@
     /// that the upstream holds expires.
     ///
     /// A request that waits there cannot always be cancelled, since some runners
-    /// do not notice that its connection was closed. One that is sent to a VM that stands
-    /// still, or waits on its link, is delivered seconds later, when the entry has long given
-    /// it up.
+    /// do not notice that its connection was closed.
     fn begins_before_expiry(
         &self,
         now: Millis,
@@ -745,7 +739,7 @@
         let expiry =
             held.and_then(|held| self.versions.expires_at(self.version_bound, model, held));
         let span = BEGIN_MARGIN_MS + BEGIN_FACTOR * first_ms;
-        expiry.is_none_or(|at| at.since(now).0 as f64 >= span && !target.is_silent(now))
+        expiry.is_none_or(|at| at.since(now).0 as f64 >= span)
     }
 
     /// Returns the share of the slots of these upstreams that are free, from 0 to 1.
@@ -984,13 +978,6 @@
         self.remote && self.engine.is_some() && self.status(now).is_none()
     }
 
-    /// Returns true when its agent has reported and no longer does.
-    fn is_silent(&self, now: Millis) -> bool {
-        let limit = Millis(SILENCE.0 * if self.remote { 2 } else { 1 });
-        let last = self.status.as_ref().map(|status| status.measured_at);
-        last.is_some_and(|at| now.since(at) >= limit)
-    }
-
     /// Returns the latest status report, unless it is too old.
     fn status(&self, now: Millis) -> Option<&RunnerStatus> {
         let status = self.status.as_ref()?;
