gate: Record how far the upstream had come with each crash

The points of a crash were computed where it was seen, and only their number was held and sent to peers. They now follow from how far the upstream had come with the request and from whether others like it were answered shortly before, and messages carry both. Rules that tell kinds of crashes apart need this; points are sent besides, for earlier releases.

No decision changes: the tests of the crash table pass as they were, with the progress named in place of a flag.

--- a/src/direct/crash_guard.rs
+++ b/src/direct/crash_guard.rs
@@ -8,11 +8,11 @@
 use smol::channel::Sender;
 
 use crate::direct::decision_log::Kind;
-use crate::direct::entry::Progress;
 use crate::direct::inbound::InboundRequest;
 use crate::direct::node::Node;
 use crate::gate::CrashDetector;
 use crate::gate::CrashTable;
+use crate::gate::Progress;
 use crate::gate::Signatures;
 use crate::gate::crash_table::Report;
 use crate::gate::crash_table::Verdict;
@@ -186,8 +186,7 @@
         {
             let mut table = lock(&self.table);
             for lost in lost.iter().filter(|l| l.progress == most) {
-                let has_head = most == Progress::Head;
-                blocked.extend(table.record_crash(now, upstream, &lost.signatures, has_head));
+                blocked.extend(table.record_crash(now, upstream, &lost.signatures, most));
             }
         }
         for signature in blocked {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -29,6 +29,7 @@
 use crate::direct::replication;
 use crate::direct::send;
 use crate::direct::send::Attempts;
+use crate::gate::Progress;
 use crate::gate::Signatures;
 use crate::member::peers::Role;
 use crate::member::registry::Registration;
@@ -118,18 +119,6 @@
     pub(super) answer_memory: Arc<MemoryBudget>,
 }
 
-common! { key
-/// How far an upstream has come with a call, by what it has sent.
-pub enum Progress {
-    /// Nothing was received yet.
-    Sent,
-    /// The head of the answer was received, and no whole event.
-    Head,
-    /// An event or the whole answer was received.
-    Event,
-}
-}
-
 /// A call to an upstream that the placement counts as in progress until this is
 /// dropped.
 pub struct CallGuard {
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -413,7 +413,7 @@
         let suspects = d.suspects.iter();
         let seen = suspects.map(|s| {
             let ends = s.answered.is_some() && s.crashes.len() + s.heard.len() > 1;
-            s.crashes.iter().filter(|c| c.points > 1).count() + usize::from(ends)
+            s.crashes.iter().filter(|c| c.is_begun()).count() + usize::from(ends)
         });
         seen.sum::<usize>() + usize::from(d.ended.is_some())
     };
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -5,6 +5,7 @@
 //! in time.
 
 use crate::gate::crash_table::Crash;
+use crate::gate::crash_table::Progress;
 use crate::gate::crash_table::Report;
 use crate::member::registry::Holding;
 use crate::prelude::*;
@@ -276,9 +277,16 @@
     /// Time since it was noticed, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub age: u32,
-    /// How much it counts.
+    /// How much it counts, for releases that do not read `progress`.
     #[prost(uint32, tag = "3")]
     pub points: u32,
+    /// How far the upstream had come with the request: 1 had sent nothing, 2 the head of an
+    /// answer, 3 an event of it; 0 when an earlier release does not say.
+    #[prost(uint32, tag = "4")]
+    pub progress: u32,
+    /// True when requests with the signature were answered shortly before.
+    #[prost(bool, tag = "5")]
+    pub sound: bool,
 }
 
 /// Changes of the replica after a revision.
@@ -566,18 +574,33 @@
         CrashDoc {
             upstream: crash.upstream,
             age: now.since(crash.at).0 as u32,
-            points: crash.points,
+            points: crash.points(),
+            progress: crash.progress as u32 + 1,
+            sound: crash.sound,
         }
     }
 
     /// Returns the crash, with its time by the receiver's clock.
     fn to_crash(self, now: Millis) -> Crash {
+        let at = now.since(Millis(u64::from(self.age)));
+        let progress = match self.progress {
+            1 => Progress::Sent,
+            2 => Progress::Head,
+            3 => Progress::Event,
+            _ => return Crash::from_points(self.upstream, at, self.points),
+        };
         Crash {
             upstream: self.upstream,
-            at: now.since(Millis(u64::from(self.age))),
-            points: self.points,
+            at,
+            progress,
+            sound: self.sound,
         }
     }
+
+    /// True when the upstream had begun to answer.
+    pub fn is_begun(&self) -> bool {
+        self.to_crash(Millis(0)).progress == Progress::Head
+    }
 }
 
 impl SuspectDoc {
--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -115,6 +115,18 @@
     }
 }
 
+common! { key
+/// How far an upstream has come with a request, by what it has sent.
+pub enum Progress {
+    /// Nothing was received yet.
+    Sent,
+    /// The head of the answer was received, and no whole event.
+    Head,
+    /// An event or the whole answer was received.
+    Event,
+}
+}
+
 common! { key
 /// A crash of an upstream, counted against a signature.
 pub struct Crash {
@@ -122,11 +134,40 @@
     pub upstream: u64,
     /// When it was noticed.
     pub at: Millis,
-    /// How much it counts.
-    pub points: u32,
+    /// How far the upstream had come with the request.
+    pub progress: Progress,
+    /// True when requests with the signature were answered shortly before.
+    pub sound: bool,
 }
 }
 
+impl Crash {
+    /// Returns the crash that a message describes by its points alone.
+    pub fn from_points(upstream: u64, at: Millis, points: u32) -> Crash {
+        let progress = if points >= SOUND_POINTS {
+            Progress::Head
+        } else {
+            Progress::Sent
+        };
+        let sound = points <= SOUND_POINTS;
+        Crash {
+            upstream,
+            at,
+            progress,
+            sound,
+        }
+    }
+
+    /// How much it counts.
+    pub fn points(&self) -> u32 {
+        match (self.progress, self.sound) {
+            (Progress::Head, false) => BEGUN_POINTS,
+            (Progress::Head, true) => SOUND_POINTS,
+            _ => WAITING_POINTS,
+        }
+    }
+}
+
 common! { value
 /// What one process has seen of a signature.
 pub struct Report {
@@ -186,11 +227,11 @@
         for crash in self.pending() {
             match &mut episode {
                 Some((start, most)) if crash.at.since(*start) <= EPISODE_TIME => {
-                    *most = (*most).max(crash.points);
+                    *most = (*most).max(crash.points());
                 }
                 _ => {
                     sum += episode.map_or(0, |(_, most)| most);
-                    episode = Some((crash.at, crash.points));
+                    episode = Some((crash.at, crash.points()));
                 }
             }
         }
@@ -231,14 +272,16 @@
         age >= MAX_BLOCK_TIME || (age >= SUSPECT_EXPIRY && !self.is_blocked())
     }
 
-    /// Adds a crash, or raises the points of the same crash.
+    /// Adds a crash. What counts most remains of the same crash.
     fn add(&mut self, crash: Crash, is_own: bool) {
         let is_same = |held: &Crash| {
             let gap = held.at.since(crash.at).max(crash.at.since(held.at));
             held.upstream == crash.upstream && gap < SAME_CRASH_TIME
         };
         if let Some((held, own)) = self.crashes.iter_mut().find(|(held, _)| is_same(held)) {
-            held.points = held.points.max(crash.points);
+            if crash.points() > held.points() {
+                (held.progress, held.sound) = (crash.progress, crash.sound);
+            }
             *own |= is_own;
             return;
         }
@@ -294,8 +337,8 @@
         })
     }
 
-    /// Counts a crash against a request that was lost without an event; `has_head` tells
-    /// whether the upstream had sent the head of an answer.
+    /// Counts a crash against a request that was lost without an event; `progress` is how
+    /// far the upstream had come with it.
     ///
     /// Returns the signatures that this blocks.
     pub fn record_crash(
@@ -303,23 +346,16 @@
         now: Millis,
         upstream: u64,
         request: &Signatures,
-        has_head: bool,
+        progress: Progress,
     ) -> Vec<u64> {
         let mut blocked = Vec::new();
         for signature in request.all() {
-            let was_sound = self
-                .sound
-                .get(&signature)
-                .is_some_and(|at| now.since(*at) < SOUND_TIME);
-            let points = match (has_head, was_sound) {
-                (true, false) => BEGUN_POINTS,
-                (true, true) => SOUND_POINTS,
-                (false, _) => WAITING_POINTS,
-            };
+            let answered = self.sound.get(&signature);
             let crash = Crash {
                 upstream,
                 at: now,
-                points,
+                progress,
+                sound: answered.is_some_and(|at| now.since(*at) < SOUND_TIME),
             };
             let suspect = self.suspect(now, signature);
             let was_blocked = suspect.is_blocked();
@@ -367,8 +403,7 @@
         let was_blocked = suspect.is_blocked();
         suspect.is_part |= report.is_part;
         for crash in report.crashes.iter().chain(&report.heard) {
-            let points = crash.points.min(BEGUN_POINTS);
-            suspect.add(Crash { points, ..*crash }, false);
+            suspect.add(*crash, false);
         }
         if let Some(at) = report.answered {
             suspect.add_answer(at);
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -12,6 +12,7 @@
 pub use admit::Permit;
 pub use crash::CrashDetector;
 pub use crash_table::CrashTable;
+pub use crash_table::Progress;
 pub use crash_table::Signatures;
 pub use drain::Drain;
 pub use drain::Reason;
--- a/src/node/suspects.rs
+++ b/src/node/suspects.rs
@@ -4,6 +4,7 @@
 
 use crate::gate;
 use crate::gate::CrashTable;
+use crate::gate::Progress;
 use crate::gate::Signatures;
 use crate::gate::crash_table::Crash;
 use crate::gate::crash_table::Report;
@@ -61,7 +62,7 @@
     /// of whose answer no data had come.
     pub fn record_begun_crash(&self, now: Millis, addr: &str, request: &Signatures) {
         let upstream = util::stable_hash([addr]);
-        util::lock(&self.signatures).record_crash(now, upstream, request, true);
+        util::lock(&self.signatures).record_crash(now, upstream, request, Progress::Head);
     }
 
     /// Clears what a request has in common with others, as data of its answer has come.
@@ -77,7 +78,7 @@
             let docs = crashes.iter().map(|crash| proto::Crash {
                 upstream: crash.upstream,
                 age_ms: now.since(crash.at).0,
-                points: crash.points,
+                points: crash.points(),
             });
             docs.collect()
         };
@@ -95,12 +96,10 @@
     /// Adds what a peer knows of signatures.
     pub fn merge_signatures(&self, now: Millis, reports: &[proto::Signature]) {
         let crashes = |docs: &[proto::Crash]| {
-            let crashes = docs.iter().map(|doc| Crash {
-                upstream: doc.upstream,
-                at: now.since(Millis(doc.age_ms)),
-                points: doc.points,
-            });
-            crashes.collect()
+            let crash = |doc: &proto::Crash| {
+                Crash::from_points(doc.upstream, now.since(Millis(doc.age_ms)), doc.points)
+            };
+            docs.iter().map(crash).collect()
         };
         let mut table = util::lock(&self.signatures);
         for doc in reports {
--- a/tests/crash_table.rs
+++ b/tests/crash_table.rs
@@ -2,6 +2,7 @@
 
 use chervilquay::gate::CrashDetector;
 use chervilquay::gate::CrashTable;
+use chervilquay::gate::Progress;
 use chervilquay::gate::Signatures;
 use chervilquay::gate::crash_table::Crash;
 use chervilquay::gate::crash_table::MAX_REPORTED;
@@ -22,6 +23,10 @@
     }
 }
 
+fn any_progress(rng: &mut fastrand::Rng) -> Progress {
+    [Progress::Sent, Progress::Head, Progress::Event][rng.usize(..3)]
+}
+
 fn verdict(table: &mut CrashTable, now: u64, request: &Signatures) -> Verdict {
     table.verdict(Millis(now), request, false, |_| false)
 }
@@ -30,8 +35,12 @@
 fn blocked() -> CrashTable {
     let mut table = CrashTable::default();
     for n in 0..3 {
-        let blocked =
-            table.record_crash(Millis(n * 1_000), n, &request(n, &[COMMON, DEADLY]), true);
+        let blocked = table.record_crash(
+            Millis(n * 1_000),
+            n,
+            &request(n, &[COMMON, DEADLY]),
+            Progress::Head,
+        );
         assert_eq!(blocked.contains(&DEADLY), n == 2);
         table.record_answer(Millis(n * 1_000 + 200), &request(500 + n, &[COMMON]));
     }
@@ -66,7 +75,7 @@
             Millis(1_000 + n * 400),
             n,
             &request(10 + n, &[COMMON, DEADLY]),
-            true,
+            Progress::Head,
         );
     }
     let sound = request(20, &[COMMON]);
@@ -85,7 +94,7 @@
             Millis(1_000 + n * 400),
             n,
             &request(10 + n, &[DEADLY]),
-            true,
+            Progress::Head,
         );
     }
     let next = request(21, &[DEADLY]);
@@ -97,10 +106,14 @@
 fn repeated_request_is_blocked() {
     let mut table = CrashTable::default();
     let same = request(1, &[]);
-    assert!(table.record_crash(Millis(0), 1, &same, true).is_empty());
+    assert!(
+        table
+            .record_crash(Millis(0), 1, &same, Progress::Head)
+            .is_empty()
+    );
     assert_eq!(verdict(&mut table, 500, &same), Verdict::Pass);
     assert_eq!(
-        table.record_crash(Millis(900), 2, &same, true),
+        table.record_crash(Millis(900), 2, &same, Progress::Head),
         [same.request]
     );
     assert_eq!(
@@ -118,7 +131,12 @@
     for (time, crash) in [(0, 0), (5_000, 10)] {
         for upstream in 0..9 {
             let lost = request(crash + upstream, &[COMMON]);
-            table.record_crash(Millis(time + upstream * 10), upstream, &lost, true);
+            table.record_crash(
+                Millis(time + upstream * 10),
+                upstream,
+                &lost,
+                Progress::Head,
+            );
         }
     }
     let next = request(50, &[COMMON]);
@@ -132,7 +150,7 @@
     let mut table = CrashTable::default();
     let waiting = request(1, &[COMMON]);
     for n in 0..3 {
-        table.record_crash(Millis(n * 1_000), n, &waiting, false);
+        table.record_crash(Millis(n * 1_000), n, &waiting, Progress::Sent);
     }
     assert_eq!(verdict(&mut table, 3_000, &waiting), Verdict::Pass);
 }
@@ -142,7 +160,7 @@
 fn suspect_is_not_repeated() {
     let mut table = CrashTable::default();
     for n in 0..2 {
-        table.record_crash(Millis(n * 1_000), n, &request(n, &[DEADLY]), true);
+        table.record_crash(Millis(n * 1_000), n, &request(n, &[DEADLY]), Progress::Head);
     }
     let next = request(5, &[DEADLY]);
     let repeat = table.verdict(Millis(1_500), &next, true, |_| true);
@@ -167,7 +185,7 @@
     let second = table.verdict(at, &request(51, &[DEADLY]), false, |_| true);
     assert_eq!(second, Verdict::Block(DEADLY));
     // The test crashes an upstream: the next one comes four times as late.
-    table.record_crash(Millis(33_000), 9, &deadly, true);
+    table.record_crash(Millis(33_000), 9, &deadly, Progress::Head);
     let later = table.verdict(Millis(33_000 + 119_000), &deadly, false, |_| true);
     assert_eq!(later, Verdict::Block(DEADLY));
     let due = Millis(33_000 + 120_000);
@@ -191,11 +209,11 @@
     ];
     for n in 0..3_u64 {
         let at = Millis(n * 1_000);
-        tables[n as usize].record_crash(at, n, &request(n, &[DEADLY]), true);
+        tables[n as usize].record_crash(at, n, &request(n, &[DEADLY]), Progress::Head);
         // Another entry lost a request in the queue of the same upstream, a little later.
         let other = (n as usize + 1) % 3;
         let queued = request(100 + n, &[DEADLY]);
-        tables[other].record_crash(Millis(at.0 + 40), n, &queued, false);
+        tables[other].record_crash(Millis(at.0 + 40), n, &queued, Progress::Sent);
     }
     let reports: Vec<Vec<Report>> = tables.iter().map(|t| t.export(Millis(2_100))).collect();
     let mut table = CrashTable::default();
@@ -226,7 +244,7 @@
     }
     for n in 0..6 {
         let at = Millis(1_000 + n * 500);
-        tables[n as usize].record_crash(at, n, &request(10 + n, &[DEADLY]), true);
+        tables[n as usize].record_crash(at, n, &request(10 + n, &[DEADLY]), Progress::Head);
         let reports: Vec<Vec<Report>> = tables.iter().map(|t| t.export(at)).collect();
         for table in &mut tables {
             for report in reports.iter().flatten() {
@@ -267,7 +285,7 @@
 fn waiting_requests_are_not_reported() {
     let mut table = CrashTable::default();
     for n in 0..40 {
-        table.record_crash(Millis(0), 1, &request(n, &[n]), false);
+        table.record_crash(Millis(0), 1, &request(n, &[n]), Progress::Sent);
     }
     assert!(table.export(Millis(10)).is_empty());
     for n in 0..40 {
@@ -275,7 +293,7 @@
     }
     assert!(table.export(Millis(200)).is_empty());
     // One of an upstream that had begun is told, and its answer only for some time.
-    table.record_crash(Millis(300), 1, &request(50, &[50]), true);
+    table.record_crash(Millis(300), 1, &request(50, &[50]), Progress::Head);
     assert_eq!(table.export(Millis(310)).len(), 2);
     table.record_answer(Millis(400), &request(51, &[50]));
     assert_eq!(table.export(Millis(410)).len(), 2);
@@ -293,7 +311,8 @@
         match rng.u32(..4) {
             0 => table.record_answer(now, &request(n, &parts)),
             1 => {
-                table.record_crash(now, rng.u64(..4), &request(n, &parts), rng.bool());
+                let progress = any_progress(&mut rng);
+                table.record_crash(now, rng.u64(..4), &request(n, &parts), progress);
             }
             _ => {
                 let mut crashes = Vec::new();
@@ -301,7 +320,8 @@
                     crashes.push(Crash {
                         upstream,
                         at: Millis(rng.u64(..=now.0)),
-                        points: rng.u32(..),
+                        progress: any_progress(&mut rng),
+                        sound: rng.bool(),
                     });
                 }
                 let report = Report {
