gate: Add up crashes of a request that comes before any answer of its upstreams

What callers saw: a lookup that crashes each plain runner came every 5 s, took all three runners down each time and was never blocked.

Cause: the crashes were noticed and then lost in the sum. A plain service sends no head before the answer is whole, so each crash counted one of eight points; the crashes of the first send, the retry and the caller's repeat came within a few milliseconds and counted once; and only the latest eight were held, which is less than three rounds. So the sum stopped at three. Besides, an entry that had seen one such crash told nobody, so requests that come at any entry did not add up either.

Ruled out: crashes that are not recognised (the entries log each); reports that are lost.

Change: a request that was not answered shortly before counts each of its crashes, at two points; it has run at each. Parts of prompts, and requests that were answered in the last minute, have many runs at a time: for them crashes at once still count about once. Of too many crashes those stay that count most. Peers hear of a request that nobody has answered for a second. An entry that has answered it since says so, which clears it everywhere; that also holds for a crash that becomes known after the answer. A crash is dated by the loss, not by when it was recognised. A request that is lost after two known crashes is not sent again at once. A block is tested later with each episode of crashes.

waiting_requests_are_not_reported answers its waiting requests now, as they would be elsewhere, and keeps its bounds: those without an answer are reported, in turn (new test).

--- a/src/direct/crash_guard.rs
+++ b/src/direct/crash_guard.rs
@@ -25,6 +25,7 @@
 /// A request that was lost at an upstream.
 #[derive(Clone, Debug)]
 struct Lost {
+    at: Millis,
     signatures: Signatures,
     progress: Progress,
 }
@@ -147,6 +148,7 @@
                 "age_ms" => now.since(inbound.arrived).0);
         }
         let lost = Lost {
+            at: now,
             signatures: inbound.signatures.clone(),
             progress,
         };
@@ -186,7 +188,8 @@
         {
             let mut table = lock(&self.table);
             for lost in lost.iter().filter(|l| l.progress == most) {
-                blocked.extend(table.record_crash(now, upstream, &lost.signatures, most));
+                // A crash is known some time after the losses, which tell it from others.
+                blocked.extend(table.record_crash(lost.at, upstream, &lost.signatures, most));
             }
         }
         for signature in blocked {
--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -10,6 +10,11 @@
 //! an event clears the signatures of its request. What remains with several crashes and
 //! no event since is blocked.
 //!
+//! A request that was never answered counts for itself: it has run at each of its crashes, also
+//! at those that come within a few milliseconds, as it is sent again. Parts of prompts, and
+//! requests that were answered shortly before, have many runs at a time, so crashes of many
+//! upstreams at once count about once for them.
+//!
 //! Each process tells its peers the crashes and events that it has seen itself, and those
 //! that it has heard of for a blocked signature. Reports are sets of crashes and a time, so
 //! that repeated, late or reordered ones change nothing.
@@ -18,16 +23,13 @@
 use crate::util;
 
 /// Points of crashes from which a whole request is blocked: two crashes at which an
-/// upstream had begun to answer it.
+/// upstream had begun to answer it, or four at which it had not.
 const REQUEST_LIMIT: u32 = 8;
 
-/// Points of crashes from which a part of prompts is blocked. It takes one crash more, as a
+/// Points of crashes from which a part of prompts is blocked. It takes more crashes, as a
 /// blocked part concerns many requests.
 const PART_LIMIT: u32 = 12;
 
-/// Points of a part from which a lost request that has it is not sent again.
-const REPEAT_LIMIT: u32 = 8;
-
 /// Points of a crash when the upstream had sent the head of an answer and no event. An
 /// upstream sends the head when it begins to answer.
 const BEGUN_POINTS: u32 = 4;
@@ -35,18 +37,19 @@
 /// The same when requests with the same signature were answered shortly before.
 const SOUND_POINTS: u32 = 2;
 
-/// Points of a crash when the upstream had sent nothing.
-const WAITING_POINTS: u32 = 1;
+/// Points of a crash when the upstream had sent nothing: it may have run the request, or
+/// another one while this one waited.
+const WAITING_POINTS: u32 = 2;
 
-/// Time within which crashes of several upstreams count as one. Many upstreams that are
-/// lost at once have another cause than the requests that ran there.
+/// Time within which crashes of several upstreams belong to one episode. Many upstreams that
+/// are lost at once mostly have another cause than the requests that ran there.
 const EPISODE_TIME: Millis = Millis(120);
 
 /// Largest difference of the times that processes state for one crash of an upstream.
 /// An upstream takes longer than this to start again.
 const SAME_CRASH_TIME: Millis = Millis(1_000);
 
-/// Time without a crash after which a signature that is not blocked is forgotten.
+/// Time without a crash after which a signature without points is forgotten.
 const SUSPECT_EXPIRY: Millis = Millis(60_000);
 
 /// Time after the last crash for which a signature stays blocked, with the least number of
@@ -54,7 +57,8 @@
 /// upstreams; each crash more makes the time four times as long.
 const BLOCK_TIME: Millis = Millis(30_000);
 
-/// Longest time of a block; after it, the signature is forgotten.
+/// Longest time of a block; after it, the signature is forgotten. One with fewer crashes is
+/// kept as long, as the request may come rarely.
 const MAX_BLOCK_TIME: Millis = Millis(10 * 60_000);
 
 /// Time in which the request that tests a blocked signature is expected to begin.
@@ -63,18 +67,21 @@
 /// Time for which an answer shows that a signature is probably sound.
 const SOUND_TIME: Millis = Millis(60_000);
 
-/// Most signatures whose last answer is remembered.
+/// Most signatures whose last answers are remembered at a time, twice.
 const MAX_SOUND: usize = 4_096;
 
 /// Most signatures with crashes.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Most crashes that are held for one signature, the latest ones.
+/// Most crashes that are held for one signature, those that count most.
 const MAX_CRASHES: usize = 8;
 
-/// Points from which peers are told of a signature. One that was only waiting at a crash
-/// concerns nobody else, and a crash leaves dozens of these.
-const REPORT_POINTS: u32 = SOUND_POINTS;
+/// Time after which peers are told of a signature without an answer that was only waiting at a
+/// crash. A crash leaves dozens of these, and most are answered elsewhere before.
+const REPORT_DELAY: Millis = Millis(1_000);
+
+/// Time for which one choice is reported among the signatures that count least; others follow.
+const REPORT_TURN: Millis = Millis(200);
 
 /// Time for which peers are told of an answer to a request with a suspected signature.
 const ANSWER_REPORT_TIME: Millis = Millis(5_000);
@@ -212,6 +219,27 @@
     tested_at: Option<Millis>,
 }
 
+/// Crashes of one signature at about the same time.
+#[derive(Clone, Copy, Default)]
+struct Episode {
+    start: Millis,
+    /// Points of the crash that counts most.
+    most: u32,
+    /// Sum of the points of crashes with no answer shortly before.
+    sum: u32,
+}
+
+impl Episode {
+    fn points(self, is_part: bool) -> u32 {
+        let sum = if is_part {
+            self.sum.min(BEGUN_POINTS)
+        } else {
+            self.sum
+        };
+        self.most.max(sum)
+    }
+}
+
 impl Suspect {
     /// Crashes after the last answer.
     fn pending(&self) -> impl Iterator<Item = Crash> + '_ {
@@ -219,23 +247,31 @@
         crashes.filter(|crash| self.answered.is_none_or(|at| crash.at > at))
     }
 
-    /// Returns the sum of the points after the last answer. Crashes at about the same time
-    /// count once.
-    fn points(&self) -> u32 {
-        let mut sum = 0;
-        let mut episode: Option<(Millis, u32)> = None;
+    /// Calls `act` with the points of each episode after the last answer, the earliest first.
+    fn each_episode(&self, mut act: impl FnMut(u32)) {
+        let mut episode = Episode::default();
         for crash in self.pending() {
-            match &mut episode {
-                Some((start, most)) if crash.at.since(*start) <= EPISODE_TIME => {
-                    *most = (*most).max(crash.points());
-                }
-                _ => {
-                    sum += episode.map_or(0, |(_, most)| most);
-                    episode = Some((crash.at, crash.points()));
-                }
+            if episode.most > 0 && crash.at.since(episode.start) > EPISODE_TIME {
+                act(episode.points(self.is_part));
+                episode = Episode::default();
+            }
+            if episode.most == 0 {
+                episode.start = crash.at;
             }
+            let points = crash.points();
+            episode.most = episode.most.max(points);
+            episode.sum += if crash.sound { 0 } else { points };
         }
-        sum + episode.map_or(0, |(_, most)| most)
+        if episode.most > 0 {
+            act(episode.points(self.is_part));
+        }
+    }
+
+    /// Returns the sum of the points after the last answer.
+    fn points(&self) -> u32 {
+        let mut sum = 0;
+        self.each_episode(|points| sum += points);
+        sum
     }
 
     /// Returns the crashes that this process has seen itself, or the others.
@@ -263,13 +299,24 @@
 
     /// Time after the last crash for which no request tests the signature.
     fn block_time(&self) -> Millis {
-        let excess = self.points().saturating_sub(self.limit()) / BEGUN_POINTS;
-        Millis(BLOCK_TIME.0 << (2 * excess.min(8))).min(MAX_BLOCK_TIME)
+        let (mut sum, mut excess) = (0, 0_u32);
+        self.each_episode(|points| {
+            excess += u32::from(sum >= self.limit());
+            sum += points;
+        });
+        Millis(BLOCK_TIME.0 << (2 * excess)).min(MAX_BLOCK_TIME)
+    }
+
+    /// True when peers are to be told: an upstream had begun to answer at a crash, or no
+    /// answer has come since.
+    fn is_told(&self, now: Millis) -> bool {
+        let mut pending = self.pending();
+        pending.any(|c| c.progress == Progress::Head || now.since(c.at) >= REPORT_DELAY)
     }
 
     fn is_expired(&self, now: Millis) -> bool {
         let age = now.since(self.last_crash());
-        age >= MAX_BLOCK_TIME || (age >= SUSPECT_EXPIRY && !self.is_blocked())
+        age >= MAX_BLOCK_TIME || (age >= SUSPECT_EXPIRY && self.points() == 0)
     }
 
     /// Adds a crash. What counts most remains of the same crash.
@@ -285,11 +332,22 @@
             *own |= is_own;
             return;
         }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
-        }
         self.crashes.push((crash, is_own));
         self.crashes.sort_by_key(|(crash, _)| crash.at);
+        if self.crashes.len() > MAX_CRASHES {
+            self.drop_least();
+        }
+    }
+
+    /// Drops the crash without which the most points remain, the earliest of these.
+    fn drop_least(&mut self) {
+        let mut best = (0, 0);
+        for index in (0..self.crashes.len()).rev() {
+            let dropped = self.crashes.remove(index);
+            best = best.max((self.points(), usize::MAX - index));
+            self.crashes.insert(index, dropped);
+        }
+        self.crashes.remove(usize::MAX - best.1);
     }
 
     fn add_answer(&mut self, at: Millis) {
@@ -297,12 +355,35 @@
     }
 }
 
+/// Last answers to requests with a signature, in two generations: when the newer one is full
+/// or old, it takes the place of the older one.
+#[derive(Clone, Debug, Default)]
+struct Answers {
+    newer: IndexMap<u64, Millis>,
+    older: IndexMap<u64, Millis>,
+    started: Millis,
+}
+
+impl Answers {
+    fn insert(&mut self, now: Millis, signature: u64) {
+        if self.newer.len() >= MAX_SOUND || now.since(self.started) >= SOUND_TIME {
+            self.older = std::mem::take(&mut self.newer);
+            self.started = now;
+        }
+        self.newer.insert(signature, now);
+    }
+
+    fn last(&self, signature: u64) -> Option<Millis> {
+        let held = self.newer.get(&signature);
+        held.or_else(|| self.older.get(&signature)).copied()
+    }
+}
+
 /// Signatures with crashes, as one process knows them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
     suspects: IndexMap<u64, Suspect>,
-    /// Last answer to a request with this part in its prompt.
-    sound: IndexMap<u64, Millis>,
+    answers: Answers,
 }
 
 impl CrashTable {
@@ -337,8 +418,8 @@
         })
     }
 
-    /// Counts a crash against a request that was lost without an event; `progress` is how
-    /// far the upstream had come with it.
+    /// Counts a crash against a request that was lost at `now` without an event; `progress`
+    /// is how far the upstream had come with it.
     ///
     /// Returns the signatures that this blocks.
     pub fn record_crash(
@@ -350,17 +431,21 @@
     ) -> Vec<u64> {
         let mut blocked = Vec::new();
         for signature in request.all() {
-            let answered = self.sound.get(&signature);
+            let answered = self.answers.last(signature);
             let crash = Crash {
                 upstream,
                 at: now,
                 progress,
-                sound: answered.is_some_and(|at| now.since(*at) < SOUND_TIME),
+                sound: answered.is_some_and(|at| now.since(at) < SOUND_TIME),
             };
             let suspect = self.suspect(now, signature);
             let was_blocked = suspect.is_blocked();
             suspect.is_part |= signature != request.request;
             suspect.add(crash, true);
+            // The crash may be known only after the request was answered elsewhere.
+            if let Some(at) = answered.filter(|at| *at >= now) {
+                suspect.add_answer(at);
+            }
             if !was_blocked && suspect.is_blocked() {
                 blocked.push(signature);
             }
@@ -371,34 +456,24 @@
     /// Clears the signatures of a request of whose answer an event has arrived.
     pub fn record_answer(&mut self, now: Millis, request: &Signatures) {
         for signature in request.all() {
+            self.answers.insert(now, signature);
             let Some(suspect) = self.suspects.get_mut(&signature) else {
                 continue;
             };
-            let points = suspect.points();
-            if points >= REPORT_POINTS {
+            if suspect.is_told(now) {
                 suspect.own_answered = Some(now);
             }
-            if points > 0 {
+            if suspect.points() > 0 {
                 suspect.add_answer(now);
             }
         }
-        for part in &request.parts {
-            self.remember_sound(now, *part);
-        }
-    }
-
-    fn remember_sound(&mut self, now: Millis, part: u64) {
-        if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&part) {
-            self.sound.retain(|_, at| now.since(*at) < SOUND_TIME);
-            if self.sound.len() >= MAX_SOUND {
-                self.sound.swap_remove_index(0);
-            }
-        }
-        self.sound.insert(part, now);
     }
 
     /// Merges what a peer has seen. Returns true when this blocks the signature.
+    ///
+    /// The peer is told in turn of an answer that this process has seen since.
     pub fn merge(&mut self, now: Millis, report: &Report) -> bool {
+        let own_answered = self.answers.last(report.signature);
         let suspect = self.suspect(now, report.signature);
         let was_blocked = suspect.is_blocked();
         suspect.is_part |= report.is_part;
@@ -408,6 +483,12 @@
         if let Some(at) = report.answered {
             suspect.add_answer(at);
         }
+        if let Some(at) = own_answered
+            && suspect.pending().any(|crash| crash.at <= at)
+        {
+            suspect.own_answered = Some(now);
+            suspect.add_answer(at);
+        }
         !was_blocked && suspect.is_blocked()
     }
 
@@ -430,7 +511,8 @@
                 continue;
             }
             if !suspect.is_blocked() {
-                if is_repeat && suspect.points() >= REPEAT_LIMIT {
+                // The loss before the repeat may be a crash that is not known yet.
+                if is_repeat && suspect.points() + BEGUN_POINTS >= suspect.limit() {
                     return Verdict::Block(signature);
                 }
                 continue;
@@ -464,24 +546,32 @@
         for (signature, suspect) in &self.suspects {
             let (points, answered) = (suspect.points(), suspect.own_answered);
             let is_answered = answered.is_some_and(|at| now.since(at) < ANSWER_REPORT_TIME);
-            if (points < REPORT_POINTS && !is_answered) || suspect.is_expired(now) {
+            if (!suspect.is_told(now) && !is_answered) || suspect.is_expired(now) {
                 continue;
             }
             let report = Report {
                 signature: *signature,
                 is_part: suspect.is_part,
                 crashes: suspect.held(true),
-                heard: if suspect.is_blocked() {
+                heard: if points > WAITING_POINTS {
                     suspect.held(false)
                 } else {
                     Vec::new()
                 },
-                answered,
+                answered: suspect.answered.filter(|_| answered.is_some()),
             };
             let is_known = !report.crashes.is_empty() || !report.heard.is_empty() || is_answered;
-            let changed = answered.max(Some(suspect.last_crash()));
+            // Many requests may have waited at one crash, so these take turns.
+            let order = if points > WAITING_POINTS || is_answered {
+                answered
+                    .max(Some(suspect.last_crash()))
+                    .unwrap_or_default()
+                    .0
+            } else {
+                util::mix(signature ^ (now.0 / REPORT_TURN.0))
+            };
             if is_known {
-                own.push(((points, changed), report));
+                own.push(((points, order), report));
             }
         }
         own.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
--- a/src/util.rs
+++ b/src/util.rs
@@ -41,7 +41,7 @@
 }
 
 /// Applies the finalizer of SplitMix64, as FNV-1a alone leaves the high bits poorly mixed.
-fn mix(mut hash: u64) -> u64 {
+pub fn mix(mut hash: u64) -> u64 {
     hash ^= hash >> 30;
     hash = hash.wrapping_mul(0xbf58_476d_1ce4_e5b9);
     hash ^= hash >> 27;
--- a/tests/crash_table.rs
+++ b/tests/crash_table.rs
@@ -169,6 +169,21 @@
     assert_eq!(first, Verdict::Pass);
 }
 
+/// Guards against a request that is sent again at once when it was lost after two crashes: that
+/// loss becomes known as a crash only when the upstream refuses connections.
+#[test]
+fn request_with_crashes_is_not_repeated() {
+    let mut table = CrashTable::default();
+    let same = request(1, &[]);
+    for n in 0..2 {
+        table.record_crash(Millis(n * 5), n, &same, Progress::Sent);
+        let repeat = table.verdict(Millis(n * 5 + 1), &same, true, |_| true);
+        let expected = [Verdict::Pass, Verdict::Block(same.request)][n as usize];
+        assert_eq!(repeat, expected);
+    }
+    assert_eq!(verdict(&mut table, 5_000, &same), Verdict::Pass);
+}
+
 /// Guards against a block that no answer can end, as no request is sent any more, and
 /// against tests of it that crash more upstreams than one each.
 #[test]
@@ -289,7 +304,7 @@
     }
     assert!(table.export(Millis(10)).is_empty());
     for n in 0..40 {
-        table.record_answer(Millis(100 + n), &request(100 + n, &[n]));
+        table.record_answer(Millis(100 + n), &request(n, &[n]));
     }
     assert!(table.export(Millis(200)).is_empty());
     // One of an upstream that had begun is told, and its answer only for some time.
@@ -300,6 +315,24 @@
     assert_eq!(table.export(Millis(6_000)).len(), 1);
 }
 
+/// Guards against requests without an answer of which other entries never hear, as each report
+/// holds the same ones of many.
+#[test]
+fn unanswered_requests_are_reported_in_turn() {
+    let mut table = CrashTable::default();
+    for n in 0..40 {
+        table.record_crash(Millis(0), 1, &request(n, &[]), Progress::Sent);
+    }
+    assert!(table.export(Millis(900)).is_empty());
+    let mut told = std::collections::BTreeSet::new();
+    for step in 0..40 {
+        let reports = table.export(Millis(1_000 + step * 250));
+        assert_eq!(reports.len(), MAX_REPORTED);
+        told.extend(reports.iter().map(|r| r.signature));
+    }
+    assert_eq!(told.len(), 40);
+}
+
 /// Guards against a report that grows, or a table that a peer fills, without bound.
 #[test]
 fn tables_and_reports_are_bounded() {
@@ -375,3 +408,156 @@
         );
     }
 }
+
+/// Plays requests that are each lost at some upstreams before anything was sent, at the times
+/// given; every crash is seen by the entry of the same number. Entries hear of each other
+/// every 300 ms. Returns how many crashes there were before all entries refuse the request.
+fn crashes_until_blocked(entries: usize, crashes: &[(u64, usize)], progress: Progress) -> usize {
+    let mut tables = vec![CrashTable::default(); entries];
+    let deadly = request(1, &[]);
+    let mut now = 0;
+    let mut share_until = |tables: &mut Vec<CrashTable>, end: u64| {
+        while now + 300 <= end {
+            now += 300;
+            let reports: Vec<Report> = tables.iter().flat_map(|t| t.export(Millis(now))).collect();
+            for table in tables.iter_mut() {
+                for report in &reports {
+                    table.merge(Millis(now + 20), report);
+                }
+            }
+        }
+    };
+    let mut count = 0;
+    for round in crashes.chunk_by(|a, b| a.0 == b.0) {
+        let at = round[0].0;
+        share_until(&mut tables, at);
+        // Those of one moment are sent before any of them is lost.
+        let is_sent = |(at, entry): &&(u64, usize)| {
+            verdict(&mut tables[*entry], *at, &deadly) == Verdict::Pass
+        };
+        let sent: Vec<_> = round.iter().filter(is_sent).collect();
+        for (at, entry) in &sent {
+            count += 1;
+            tables[*entry].record_crash(Millis(*at), 50 + count as u64, &deadly, progress);
+        }
+        if sent.is_empty() {
+            return count;
+        }
+    }
+    count
+}
+
+/// Crashes that come in rounds, each at `in_round` upstreams `gap` milliseconds apart.
+fn rounds(every: u64, in_round: usize, gap: u64) -> Vec<(u64, usize)> {
+    let crash = |n: usize| {
+        let at = (n / in_round) as u64 * every + (n % in_round) as u64 * gap;
+        (at, n % in_round % 3)
+    };
+    (0..8 * in_round).map(crash).collect()
+}
+
+/// Guards against a request that is never blocked, as its upstreams crash before they have sent
+/// anything: its crashes come within a few milliseconds and are taken for one, or are so many
+/// that those of earlier rounds are dropped, or each entry has seen only one of them.
+#[test]
+fn request_without_head_is_blocked() {
+    /// Retries that may reach upstreams later than [`CONTACT_MS`] after the third crash.
+    const MAX_RETRIES: usize = 3;
+    const CONTACT_MS: u64 = 3_000;
+    let patterns = [
+        ("three at once, every 5 s", rounds(5_000, 3, 2)),
+        ("one, every 5 s", rounds(5_000, 1, 0)),
+        ("two in turn, every 5 s", rounds(5_000, 2, 300)),
+        ("three in turn, every 4 s", rounds(4_000, 3, 700)),
+        ("nine at once, every 5 s", rounds(5_000, 9, 0)),
+        ("one, every 400 ms", rounds(400, 1, 0)),
+        ("one, every 70 s", rounds(70_000, 1, 0)),
+        (
+            "one at each entry, every 5 s",
+            (0..8).map(|n| (n * 5_000, n as usize)).collect(),
+        ),
+    ];
+    for (name, crashes) in patterns {
+        let reached = crashes_until_blocked(8, &crashes, Progress::Sent);
+        let late = crashes[..reached].iter();
+        let late = late.filter(|(at, _)| *at > crashes[2].0 + CONTACT_MS);
+        let late = late.count();
+        assert!(late <= MAX_RETRIES, "{name}: {late} late retries");
+    }
+}
+
+/// Guards against a sound request that many callers send, blocked as it ran at several of the
+/// upstreams that were lost at once, or as those of a zone are lost again and again.
+#[test]
+fn popular_request_is_not_blocked() {
+    let mut tables = vec![CrashTable::default(); 3];
+    let popular = request(1, &[]);
+    for round in 0..6_u64 {
+        let start = 1_000 + round * 5_000;
+        for table in &mut tables {
+            table.record_answer(Millis(start - 900), &popular);
+        }
+        for upstream in 0..9 {
+            let entry = upstream as usize % 3;
+            tables[entry].record_crash(
+                Millis(start + upstream),
+                upstream,
+                &popular,
+                Progress::Sent,
+            );
+        }
+        // Nothing is served until the upstreams are back, and entries hear of each other.
+        for step in 1..=8 {
+            let now = Millis(start + step * 400);
+            let reports: Vec<Report> = tables.iter().flat_map(|t| t.export(now)).collect();
+            for table in &mut tables {
+                for report in &reports {
+                    table.merge(now, report);
+                }
+                assert_eq!(
+                    verdict(table, now.0, &popular),
+                    Verdict::Pass,
+                    "round {round}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a sound request that stays under suspicion at the entries that have lost it,
+/// as those that serve it have no reason to say so.
+#[test]
+fn answer_at_another_entry_clears_a_request() {
+    let (mut lost, mut served) = (CrashTable::default(), CrashTable::default());
+    let popular = request(1, &[]);
+    lost.record_crash(Millis(0), 1, &popular, Progress::Head);
+    served.record_answer(Millis(500), &popular);
+    for report in lost.export(Millis(1_200)) {
+        served.merge(Millis(1_210), &report);
+    }
+    for report in served.export(Millis(1_300)) {
+        lost.merge(Millis(1_310), &report);
+    }
+    assert_eq!(lost.points(Millis(1_400), popular.request), 0);
+}
+
+/// Guards against a part that is never blocked, as its upstreams crash before they have sent
+/// anything, several at once in each round.
+#[test]
+fn part_without_head_is_blocked() {
+    let mut table = CrashTable::default();
+    for n in 0..15_u64 {
+        let at = Millis(n / 3 * 5_000 + n % 3 * 2);
+        table.record_crash(at, n, &request(n, &[DEADLY]), Progress::Sent);
+        table.record_crash(
+            Millis(at.0 + 400),
+            n,
+            &request(100 + n, &[DEADLY]),
+            Progress::Sent,
+        );
+    }
+    let more = Millis(25_000);
+    table.record_crash(more, 90, &request(90, &[DEADLY]), Progress::Sent);
+    let next = request(91, &[DEADLY]);
+    assert_eq!(verdict(&mut table, 25_100, &next), Verdict::Block(DEADLY));
+}
--- a/tests/prompt_part.rs
+++ b/tests/prompt_part.rs
@@ -15,6 +15,7 @@
 
 use support::prepared;
 use support::prepared::Act;
+use support::prepared::Crash;
 use support::prepared::Entry;
 use support::prepared::Runner;
 use support::prepared::Store;
@@ -48,7 +49,7 @@
 fn deadly_part_reaches_few_upstreams() {
     let address = |last: u8| Ipv4Addr::new(127, 0, 41, last);
     let (store, store_addr) = Store::start(address(1));
-    let (runner, runner_addr) = Runner::start_crashing(address(1), DEADLY);
+    let (runner, runner_addr) = Runner::start_crashing(address(1), DEADLY, Crash::AfterHead);
     store.put("op/config", &prepared::config(3));
     store.put("servers/i-1", &prepared::registered(runner_addr));
     let seeds: Vec<SocketAddr> = (1..=2)
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -353,6 +353,15 @@
     }
 }
 
+/// When a stand-in runner crashes on a request.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Crash {
+    /// Before it sends anything.
+    AtOnce,
+    /// Once it has sent the head of the answer.
+    AfterHead,
+}
+
 /// A stand-in runner: carries out acts in order, one for each request, and records
 /// the requests. Without an act it answers `whole`.
 #[derive(Clone, Default)]
@@ -364,21 +373,21 @@
     disconnected: Arc<Mutex<Vec<String>>>,
     open_endless: Arc<AtomicUsize>,
     endless_bytes: Arc<AtomicU64>,
-    /// Part of a prompt on which it crashes, once it has sent the head of the answer.
-    deadly_part: Option<&'static str>,
+    /// Requests on which it crashes: a word of their path or a part of their prompt, and when.
+    deadly: Option<(&'static str, Crash)>,
     /// Connections that are open, when it may crash.
     open: Arc<Mutex<Vec<TcpStream>>>,
     is_down: Arc<AtomicBool>,
 }
 
 impl Runner {
-    /// Starts a runner that crashes when it begins to answer a request with this part in
-    /// its prompt: all connections are closed and new ones are refused for a short time.
-    pub fn start_crashing(ip: Ipv4Addr, part: &'static str) -> (Runner, SocketAddr) {
+    /// Starts a runner that crashes on requests with this word in their path, or as a part of
+    /// their prompt: all connections are closed and new ones are refused for a short time.
+    pub fn start_crashing(ip: Ipv4Addr, word: &'static str, crash: Crash) -> (Runner, SocketAddr) {
         /// Time for which connections are refused after a crash.
         const DOWN_TIME: Duration = Duration::from_millis(300);
         let runner = Runner {
-            deadly_part: Some(part),
+            deadly: Some((word, crash)),
             ..Runner::default()
         };
         let mut listener = listen(ip);
@@ -409,11 +418,13 @@
         (runner, addr)
     }
 
-    /// Returns true for a request on which it crashes.
-    fn is_deadly(&self, request: &Message) -> bool {
+    /// Returns when it crashes on this request; none for a sound one.
+    fn crash_on(&self, request: &Message) -> Option<Crash> {
+        let (word, crash) = self.deadly?;
         let parts = request.header("x-prompt-prefix").unwrap_or("");
-        self.deadly_part
-            .is_some_and(|deadly| parts.split(',').any(|p| p.starts_with(deadly)))
+        let is_deadly =
+            request.line.contains(word) || parts.split(',').any(|p| p.starts_with(word));
+        is_deadly.then_some(crash)
     }
 
     /// Starts a runner and returns its address.
@@ -498,11 +509,13 @@
         while let Some(request) = read_message(&mut stream) {
             let id = request.header("x-request-id").unwrap_or("").to_string();
             let previous = last_id.replace(id.clone());
-            let is_deadly = self.is_deadly(&request);
+            let crash = self.crash_on(&request);
             self.requests.lock().unwrap().push(request);
             self.arrived_at.lock().unwrap().push(Instant::now());
-            if is_deadly {
-                stream_head(&mut stream, &id);
+            if let Some(crash) = crash {
+                if crash == Crash::AfterHead {
+                    stream_head(&mut stream, &id);
+                }
                 self.is_down.store(true, Ordering::Relaxed);
                 return self.wait_until_up();
             }
