rollout: Date a version that nobody read by when it was last not there

Cause: a change that is read more than 1.5 s after the replica was complete was dated by its arrival, as if the store had been away. The agents lived on and had heard nothing, as all readers were lost; they dated the version four seconds late and told everyone, and any reported date replaces the one that an entry assumes at its start. It has a second edge: an entry that stood still dated the answer that had waited in its socket by when it read it, or took the time-out for an outage of the store.

Evidence: the log line of a version named says its age and how that is known now.

Change: a date is exact, earliest or assumed. Without an outage that this process saw itself (two failed calls in a row, while it ran), a change after a gap has only an earliest date: the last time the replica was complete. An exact date goes before it, of earliest dates the latest counts, and what was told is not passed on. A standstill shows in the ticks of the process.

--- a/src/direct/cluster.rs
+++ b/src/direct/cluster.rs
@@ -35,8 +35,8 @@
     /// The registration of the upstream with this id is missing, perhaps
     /// because it expired while the store was away.
     Missing(String),
-    /// The operator named this version of a model's weights.
-    VersionNamed(String, u64),
+    /// The operator named this version of a model's weights; none if it is not the newest.
+    VersionNamed(String, u64, Option<Naming>),
     /// A peer told when a version was named: it was unknown here, or dated later.
     VersionDated(String, u64, Millis),
     /// The store was restored from an older copy, in this era; holds the former position too.
@@ -113,9 +113,9 @@
         self.routing.as_ref()
     }
 
-    /// Records that a call to the store failed.
-    pub fn store_failed(&mut self) {
-        self.watch.on_failure();
+    /// Records that a call to the store, made at `asked`, failed.
+    pub fn store_failed(&mut self, now: Millis, asked: Millis) {
+        self.watch.on_failure(now, asked);
         self.is_store_away = true;
     }
 
@@ -259,8 +259,8 @@
     /// Applies one changed document. A configuration that is not newer than the one
     /// in force is ignored, and so is the removal of any but a registration.
     ///
-    /// When a version was named is not known at the first read (`is_start`); later it
-    /// is derived from the reading of the store.
+    /// When a version was named is not known at the first read (`is_start`), nor before the
+    /// replica was complete; later it is derived from the reading of the store.
     fn apply_doc(&mut self, context: &Context, doc: &Doc, changes: &mut Vec<Change>) {
         let (now, is_start) = (context.now, context.is_start);
         let key = &*doc.key;
@@ -286,17 +286,15 @@
         } else if key.starts_with(registry::WEIGHTS_PREFIX) {
             match registry::decode_version(key, value) {
                 Ok((model, version)) => {
-                    if is_start {
-                        self.versions
-                            .record(now, context.bound, is_start, &model, version);
-                    } else {
-                        let naming = Naming {
-                            at: self.watch.change_time(now),
-                            assumed: false,
-                        };
-                        self.versions.insert(&model, version, naming);
+                    match self.watch.change_time(now).filter(|_| !is_start) {
+                        Some(naming) => self.versions.insert(&model, version, naming),
+                        None => {
+                            self.versions
+                                .record(now, context.bound, true, &model, version);
+                        }
                     }
-                    changes.push(Change::VersionNamed(model, version));
+                    let naming = self.versions.naming(&model, version);
+                    changes.push(Change::VersionNamed(model, version, naming));
                 }
                 Err(error) => changes.push(Change::Undecoded(error.detail)),
             }
--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -180,8 +180,10 @@
             Change::Missing(id) => {
                 info!(self.logger, "member: entry lapsed while the store was away"; "upstream" => id, "revision" => revision, "source" => source)
             }
-            Change::VersionNamed(model, version) => {
-                info!(self.logger, "rollout: version named"; "model" => model, "version" => version, "revision" => revision, "source" => source)
+            Change::VersionNamed(model, version, naming) => {
+                let age = naming.as_ref().map(|n| now.since(n.at).0);
+                let dating = naming.as_ref().map(|n| format!("{:?}", n.dating));
+                info!(self.logger, "rollout: version named"; "model" => model, "version" => version, "age_ms" => age, "dating" => dating, "revision" => revision, "source" => source)
             }
             Change::VersionDated(model, version, at) => {
                 info!(self.logger, "rollout: version dated"; "model" => model, "version" => version, "age_ms" => now.since(*at).0, "source" => source)
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -161,6 +161,7 @@
         let now = self.now();
         self.peers().tick(now);
         let mut cluster = self.cluster();
+        cluster.watch.on_tick(now);
         let changes = cluster.drop_missing(now);
         self.report_changes(now, &cluster, &changes, "time");
     }
--- a/src/direct/replication.rs
+++ b/src/direct/replication.rs
@@ -95,6 +95,7 @@
             smol::Timer::after(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let asked = node.now();
         let outcome = read(&node, &store).await;
         let code = outcome.as_ref().err().map(|error| error.code);
         node.metrics().outcome(Metric::StoreTotal, code);
@@ -114,7 +115,7 @@
                 failures += 1;
                 let max_wait = {
                     let mut cluster = node.cluster();
-                    cluster.store_failed();
+                    cluster.store_failed(node.now(), asked);
                     cluster.watch.backoff().0
                 };
                 let wait = fastrand::u64(max_wait / 2..=max_wait);
@@ -222,6 +223,7 @@
     let delta = store.list("", era).await?;
     record_read(node, Metric::StoreRead, &delta, asked, "store");
     node.apply(delta, Millis(0), "store");
+    node.cluster().watch.on_complete(asked);
     Ok(())
 }
 
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -12,6 +12,7 @@
 use crate::retry::Refusal;
 use crate::rollout::manifest::Digest;
 use crate::rollout::pieces::PieceDigests;
+use crate::rollout::versions::Dating;
 use crate::rollout::versions::NamedVersion;
 use crate::rollout::versions::Naming;
 use crate::route::rate_share::Statement;
@@ -131,6 +132,9 @@
     /// Longest time for which it can have been named, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age: u64,
+    /// True when it may have been named much later than that, as nobody read the store.
+    #[prost(bool, tag = "4")]
+    pub earliest: bool,
 }
 
 /// A refused request, which may come again at another entry.
@@ -517,6 +521,7 @@
             model: named.model.clone(),
             version: named.version,
             age: now.since(named.naming.at).0,
+            earliest: named.naming.dating != Dating::Exact,
         }
     }
 
@@ -531,7 +536,11 @@
             version: self.version,
             naming: Naming {
                 at: now.since(Millis(self.age)),
-                assumed: false,
+                dating: if self.earliest {
+                    Dating::Earliest
+                } else {
+                    Dating::Exact
+                },
             },
         }
     }
--- a/src/member/store_watch.rs
+++ b/src/member/store_watch.rs
@@ -10,6 +10,8 @@
 use crate::member::peers::Peers;
 use crate::member::peers::Role;
 use crate::prelude::*;
+use crate::rollout::versions::Dating;
+use crate::rollout::versions::Naming;
 use crate::table::replica::Position;
 
 /// Entries of a zone that read the store, so that one of them may be lost.
@@ -71,10 +73,18 @@
 /// Shortest time to an answer that shows that the read waited for a change.
 const MIN_WAITED: Millis = Millis(30);
 
-/// Longest time since the replica was last complete by which a change is dated
-/// back. A longer time means that the store itself had an outage.
+/// Longest time since the replica was last complete for which the time of a change counts as
+/// known. After a longer one it matters whether the store had an outage.
 const MAX_DATING_GAP: Millis = Millis(1_500);
 
+/// Failed calls in a row that show an outage of the store. The first may only have lost its
+/// connection.
+const OUTAGE_FAILURES: u32 = 2;
+
+/// Longest time between two ticks of a process that runs. A longer one shows that it stood
+/// still meanwhile.
+const MAX_TICK_GAP: Millis = Millis(500);
+
 common! { key
 /// Times of one call to the store.
 pub struct Call {
@@ -116,40 +126,82 @@
     receiving: Option<Millis>,
     /// Since when the zone has had too few readers with smaller names.
     short_since: Option<Millis>,
+    /// When the last call was made that shows an outage of the store.
+    away_at: Option<Millis>,
+    /// When this process last ran.
+    ran_at: Option<Millis>,
+    /// Start and end of the last time in which this process stood still.
+    standstill: Option<(Millis, Millis)>,
 }
 
 impl StoreWatch {
     /// Records that the replica holds all changes that the store had at `now`.
     pub fn on_complete(&mut self, now: Millis) {
-        self.complete_at = Some(now);
+        self.complete_at = self.complete_at.max(Some(now));
         self.ended_wait = false;
     }
 
+    /// Records that this process runs; called at short intervals, and before the time of an
+    /// answer counts.
+    pub fn on_tick(&mut self, now: Millis) {
+        if let Some(at) = self.ran_at.filter(|at| now.since(*at) > MAX_TICK_GAP) {
+            self.standstill = Some((at, now));
+        }
+        self.ran_at = Some(now);
+    }
+
+    /// Returns when this process stood still first during a call that was made at `asked`.
+    fn stood_still(&self, asked: Millis) -> Option<Millis> {
+        let held = self.standstill.filter(|(_, end)| *end >= asked);
+        held.map(|(start, _)| start.max(asked))
+    }
+
     /// Records whether the answer that is applied next, to a call made at
     /// `asked`, came only after a wait for a change.
     ///
     /// The wait shows that there was no change when the call was made, but only
-    /// if the call followed right after the previous answer.
+    /// if the call followed right after the previous answer. If this process stood still
+    /// meanwhile, the answer may have come at any time since then.
     pub fn note_wait(&mut self, now: Millis, asked: Millis) {
+        self.on_tick(now);
         let pause = self.complete_at.map(|at| asked.since(at));
         let follows = pause.is_some_and(|pause| pause <= CALL_GAP.plus(CALL_GAP));
-        self.ended_wait = follows && now.since(asked) >= MIN_WAITED;
+        let stood_still = self.stood_still(asked);
+        self.ended_wait = follows && now.since(asked) >= MIN_WAITED && stood_still.is_none();
+        if let Some(at) = stood_still.filter(|_| follows) {
+            self.on_complete(at);
+        }
     }
 
-    /// Returns the earliest time at which the store may have acknowledged a
-    /// change that is read at `now`.
+    /// Returns the earliest time at which the store may have acknowledged a change that is
+    /// read at `now`; none when the replica was never known to be complete.
     ///
-    /// A change that ends a wait has just been made. Any other change was made
-    /// after the replica was last complete, while the entry paused between calls
-    /// or before it took over from a reader that fell silent.
-    pub fn change_time(&self, now: Millis) -> Millis {
+    /// A change that ends a wait has just been made. Any other change was made after the
+    /// replica was last complete, while the entry paused between calls or before it took
+    /// over from a reader that fell silent. Bounds count anew from an outage of the store, so
+    /// a change is dated no earlier than that. Without an outage, all readers may have been
+    /// lost, and the change may have been made at any time since.
+    pub fn change_time(&self, now: Millis) -> Option<Naming> {
+        let exact = |at| Naming {
+            at,
+            dating: Dating::Exact,
+        };
         if self.ended_wait {
-            return now.since(CHANGE_LATENCY);
+            return Some(exact(now.since(CHANGE_LATENCY)));
         }
-        let complete = self
-            .complete_at
-            .filter(|at| now.since(*at) <= MAX_DATING_GAP);
-        complete.map_or(now, |at| at.since(CALL_GAP).since(CHANGE_LATENCY))
+        let complete = self.complete_at?;
+        let at = complete.since(CALL_GAP).since(CHANGE_LATENCY);
+        if now.since(complete) <= MAX_DATING_GAP {
+            return Some(exact(at));
+        }
+        let away = self.away_at.filter(|away| *away >= complete);
+        Some(away.map_or(
+            Naming {
+                at,
+                dating: Dating::Earliest,
+            },
+            exact,
+        ))
     }
 
     /// Records an answer of the store.
@@ -171,11 +223,15 @@
         self.receiving = Some(now);
     }
 
-    /// Records a call that failed or timed out.
-    pub fn on_failure(&mut self) {
+    /// Records a call, made at `asked`, that failed or timed out.
+    pub fn on_failure(&mut self, now: Millis, asked: Millis) {
+        self.on_tick(now);
         self.last_answer = None;
         self.receiving = None;
         self.failures = self.failures.saturating_add(1);
+        if self.failures >= OUTAGE_FAILURES && self.stood_still(asked).is_none() {
+            self.away_at = Some(asked);
+        }
     }
 
     /// Records that this process does not read, as enough other entries do.
--- a/src/rollout/versions.rs
+++ b/src/rollout/versions.rs
@@ -24,19 +24,50 @@
 /// process, which cannot know when the newest version was named.
 const TIME_LEFT_AT_START: Millis = Millis(2_500);
 
+/// Least difference by which an earliest time has to be later than a known one to replace it.
+/// Messages date what they tell later by their delay.
+const MIN_GAIN: Millis = Millis(1_000);
+
 /// Number of versions that are remembered for each model; older ones are forgotten.
 const MAX_REMEMBERED: usize = 16;
 
+common! { key
+/// How a process knows when a version was named.
+pub enum Dating {
+    /// It is assumed here, because this process started after it or was told only of an
+    /// earliest time.
+    Assumed,
+    /// It is the last time at which the store is known not to have had the version: nobody
+    /// read it here, so it may have been named much later.
+    Earliest,
+    /// The store was read at that time.
+    Exact,
+}
+}
+
 common! { value
 /// When the operator named a version, by the own clock.
 pub struct Naming {
     /// Earliest time at which the store may have acknowledged it.
     pub at: Millis,
-    /// True when the time is only assumed, because this process started after it.
-    pub assumed: bool,
+    /// How that is known.
+    pub dating: Dating,
 }
 }
 
+impl Naming {
+    /// Returns the time as the process holds it that it was told to.
+    fn told(self) -> Naming {
+        match self.dating {
+            Dating::Exact => self,
+            Dating::Earliest | Dating::Assumed => Naming {
+                dating: Dating::Assumed,
+                ..self
+            },
+        }
+    }
+}
+
 common! { value
 /// A named version, as processes tell each other of it.
 pub struct NamedVersion {
@@ -59,7 +90,8 @@
     /// Records that `version` was named for `model`, as read from the store.
     ///
     /// `bound` is the time after which older versions may begin no requests. `is_start`
-    /// tells that this process has just started, so that the time must be assumed.
+    /// tells that this process knows nothing of the time before, as one that has just
+    /// started, so that the time must be assumed.
     pub fn record(
         &mut self,
         now: Millis,
@@ -68,13 +100,17 @@
         model: &str,
         version: u64,
     ) {
-        let assumed = is_start && !self.named.contains_key(model);
-        let at = if assumed {
-            now.since(bound.since(QUEUE_MARGIN).since(TIME_LEFT_AT_START))
+        let naming = if is_start {
+            Naming {
+                at: now.since(bound.since(QUEUE_MARGIN).since(TIME_LEFT_AT_START)),
+                dating: Dating::Assumed,
+            }
         } else {
-            now
+            Naming {
+                at: now,
+                dating: Dating::Exact,
+            }
         };
-        let naming = Naming { at, assumed };
         self.insert(model, version, naming);
     }
 
@@ -92,7 +128,10 @@
 
     /// Merges what another process reports of a version; true when that changed anything.
     ///
-    /// The earliest time counts, except that any reported time replaces an assumed one.
+    /// An exact time goes before all others, and the earliest of these counts. Of times before
+    /// which the version was not named, the latest counts: each of them holds. Such a time is
+    /// not passed on, as each process would date it later.
+    ///
     /// A version between the known ones is added: this process missed it, as the store
     /// keeps only the newest. A version that is newer than all known ones is ignored,
     /// because it arrives with the replica of the store.
@@ -106,15 +145,20 @@
         match list.get_mut(position) {
             None => false,
             Some((version, held)) if *version == named.version => {
-                let is_better = held.assumed || reported.at < held.at;
+                let is_better = match (held.dating, reported.dating) {
+                    (Dating::Exact, Dating::Exact) => reported.at < held.at,
+                    (_, Dating::Exact) => true,
+                    (Dating::Exact, _) => false,
+                    _ => reported.at > held.at.plus(MIN_GAIN),
+                };
                 if is_better {
-                    *held = reported.clone();
+                    *held = reported.clone().told();
                 }
                 is_better
             }
             Some(_) if is_full => false,
             Some(_) => {
-                list.insert(position, (named.version, reported.clone()));
+                list.insert(position, (named.version, reported.clone().told()));
                 true
             }
         }
@@ -130,7 +174,14 @@
                 naming: naming.clone(),
             })
         });
-        all.filter(move |named| named.naming.at >= from && !named.naming.assumed)
+        all.filter(move |named| named.naming.at >= from && named.naming.dating != Dating::Assumed)
+    }
+
+    /// When a version was named; none when it is not known.
+    pub fn naming(&self, model: &str, version: u64) -> Option<Naming> {
+        let mut list = self.named.get(model)?.iter();
+        let found = list.find(|(held, _)| *held == version);
+        found.map(|(_, naming)| naming.clone())
     }
 
     /// The newest version of `model` and when it was named; version 1 when none was named.
--- a/tests/cluster_view.rs
+++ b/tests/cluster_view.rs
@@ -58,7 +58,7 @@
         put("servers/b", 2, Some(registration("ready"))),
         NO_GRACE,
     );
-    cluster.store_failed();
+    cluster.store_failed(Millis(1), Millis(1));
     let back = Millis(15_000);
     assert!(cluster.store_answered(back, LEAST_OUTAGE));
     let grace = cluster.grace_left(back);
@@ -171,12 +171,12 @@
     let lifetime = Millis(3_600);
     let ready = put("servers/a", 1, Some(registration("ready")));
     cluster.apply(Millis(1), BOUND, ready, NO_GRACE);
-    cluster.store_failed();
+    cluster.store_failed(Millis(25000), Millis(25000));
     cluster.peer_had_changes(Millis(24_870), lifetime);
     assert!(cluster.store_answered(Millis(25_300), LEAST_OUTAGE));
     assert_eq!(cluster.grace_left(Millis(25_614)), NO_GRACE);
     // No changes for as long as a registration lives: it may have expired.
-    cluster.store_failed();
+    cluster.store_failed(Millis(28000), Millis(28000));
     assert!(cluster.store_answered(Millis(28_500), LEAST_OUTAGE));
     assert!(cluster.grace_left(Millis(28_600)) > NO_GRACE);
 }
@@ -230,14 +230,14 @@
     cluster.store_answered(Millis(5_000), LEAST_OUTAGE);
     cluster.apply(Millis(5_000), BOUND, ready, NO_GRACE);
     cluster.store_answered(Millis(9_900), LEAST_OUTAGE);
-    cluster.store_failed();
+    cluster.store_failed(Millis(10500), Millis(10500));
     let back = Millis(11_200);
     assert!(cluster.store_answered(back, LEAST_OUTAGE));
     let grace = cluster.grace_left(back);
     let changes = cluster.apply(back, BOUND, put("servers/a", 2, None), grace);
     assert_eq!(changes, vec![Change::Gone("a".to_string())]);
     // An outage that is long enough for a registration to expire.
-    cluster.store_failed();
+    cluster.store_failed(Millis(13500), Millis(13500));
     assert!(cluster.store_answered(Millis(13_700), LEAST_OUTAGE));
     assert!(cluster.grace_left(Millis(13_700)) > NO_GRACE);
 }
@@ -252,7 +252,7 @@
         cluster.store_answered(Millis(9_900), LEAST_OUTAGE);
         let ready = put("servers/a", 1, Some(registration("ready")));
         cluster.apply(Millis(9_900), BOUND, ready, NO_GRACE);
-        cluster.store_failed();
+        cluster.store_failed(Millis(10500), Millis(10500));
     }
     assert_eq!(first.store_uptime(Millis(14_000)), NO_GRACE);
     first.store_answered(Millis(14_000), LEAST_OUTAGE);
@@ -271,7 +271,7 @@
         vec![Change::Gone("a".to_string())]
     );
     // The store has answered a peer throughout, so there was no outage.
-    late.store_failed();
+    late.store_failed(Millis(24000), Millis(24000));
     late.store_answered(Millis(25_000), LEAST_OUTAGE);
     late.peer_store_uptime(Millis(25_100), Millis(11_100));
     assert_eq!(late.grace_left(Millis(25_100)), NO_GRACE);
--- a/tests/place_version.rs
+++ b/tests/place_version.rs
@@ -6,6 +6,7 @@
 
 use chervilquay::member::registry::Holding;
 use chervilquay::member::registry::Registration;
+use chervilquay::rollout::versions::Dating;
 use chervilquay::rollout::versions::Naming;
 use chervilquay::rollout::versions::Versions;
 use chervilquay::route::engine::Engine;
@@ -83,7 +84,7 @@
     let mut versions = Versions::default();
     let naming = Naming {
         at: Millis(100_000),
-        assumed: false,
+        dating: Dating::Exact,
     };
     versions.insert("m", 2, naming);
     placer.set_versions(versions, BOUND);
--- a/tests/removal_bound.rs
+++ b/tests/removal_bound.rs
@@ -450,7 +450,7 @@
         if is_failed {
             let p = &mut self.processes[own];
             p.pending_listing = None;
-            p.view.store_failed();
+            p.view.store_failed(Millis(self.now), Millis(began));
             let most = p.view.watch.backoff().0;
             let wait = self.rng.u64(most / 2..=most);
             p.read_state = ReadState::Paused(self.now + wait);
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -99,8 +99,9 @@
             let end = now + call.wait.0 + delay;
             let is_lost = now < back && end > silent;
             if is_lost || end > now + call.timeout.0 {
+                let asked = Millis(now);
                 now += call.timeout.0;
-                watch.on_failure();
+                watch.on_failure(Millis(now), asked);
                 now += rng.u64(watch.backoff().0 / 2..=watch.backoff().0);
             } else {
                 now = end;
@@ -134,7 +135,7 @@
     }
     assert!(calls <= 21, "{calls}");
     assert!(now <= changes[49] + 100, "late by {}", now - changes[49]);
-    watch.on_failure();
+    watch.on_failure(Millis(now), Millis(now));
     assert_eq!(watch.next_call_in(Millis(now)), Millis(0));
 }
 
@@ -155,7 +156,7 @@
     assert!(!watch.is_reliable(Millis(6_800)));
     watch.on_answer(Millis(6_900));
     assert!(watch.is_reliable(Millis(7_500)));
-    watch.on_failure();
+    watch.on_failure(Millis(7_500), Millis(7_000));
     assert!(!watch.is_reliable(Millis(7_500)));
 }
 
--- a/tests/version_bounds.rs
+++ b/tests/version_bounds.rs
@@ -2,6 +2,7 @@
 
 use chervilquay::rollout::reload::Reload;
 use chervilquay::rollout::reload::RunnerState;
+use chervilquay::rollout::versions::Dating;
 use chervilquay::rollout::versions::NamedVersion;
 use chervilquay::rollout::versions::Naming;
 use chervilquay::rollout::versions::Versions;
@@ -63,7 +64,7 @@
         version,
         naming: Naming {
             at: Millis(at),
-            assumed: false,
+            dating: Dating::Exact,
         },
     }
 }
@@ -96,6 +97,45 @@
     assert_eq!(versions.named_since(Millis(0)).count(), 1);
 }
 
+fn earliest(version: u64, at: u64) -> NamedVersion {
+    let mut told = named(version, at);
+    told.naming.dating = Dating::Earliest;
+    told
+}
+
+/// Guards against a version that was named while all entries were lost, dated by when the first
+/// ones were back: agents tell how long ago it cannot have been named, and entries that have
+/// started assume a time.
+#[test]
+fn naming_while_readers_were_lost_is_dated_before() {
+    let mut versions = Versions::default();
+    versions.record(Millis(104_000), BOUND, true, "m", 2);
+    versions.merge(&earliest(2, 100_000));
+    let expiry = versions.expires_at(BOUND, "m", 1).unwrap();
+    assert!(expiry <= Millis(108_000), "{expiry:?}");
+    // What others told is not passed on, as each hop would date it later.
+    assert_eq!(versions.named_since(Millis(0)).count(), 0);
+    // A process that reads the store knows better.
+    assert!(versions.merge(&named(2, 101_000)));
+    assert!(!versions.merge(&earliest(2, 99_000)));
+    assert!(!versions.merge(&earliest(2, 103_000)));
+    assert_eq!(versions.expires_at(BOUND, "m", 1), Some(Millis(109_000)));
+}
+
+/// Guards against an agent that was cut off for long and ends the time of the previous version
+/// early, as it can exclude little: the latest of such times counts.
+#[test]
+fn latest_of_earliest_times_counts() {
+    let mut versions = Versions::default();
+    versions.insert("m", 2, earliest(2, 60_000).naming);
+    assert_eq!(versions.named_since(Millis(0)).count(), 1);
+    assert!(versions.merge(&earliest(2, 100_000)));
+    assert!(!versions.merge(&earliest(2, 70_000)));
+    // Repeated messages about the same time, some of them slow, change nothing.
+    assert!(!versions.merge(&earliest(2, 100_600)));
+    assert_eq!(versions.expires_at(BOUND, "m", 1), Some(Millis(108_000)));
+}
+
 /// Guards against a process that starts after two versions were named and reads only the
 /// newest from the store: the bound of the first applies to the version before it.
 #[test]
