gate: Count crashes after an event, and clear by whole answers

Cause: an event was taken for a proof that the request is sound. Losses after an event counted against nobody, and the event cleared what was counted before. Streams that are not resumable were not recorded at all when they broke off.

Change: only an answer that ends whole clears a request. For a part of prompts an event still clears the crashes before an event, and a whole answer those after one. At a crash all lost requests are suspects, unless the upstream had just begun one of them. Reports tell peers of whole answers. The own interface had the same cause in what requests begin alike with: it counts crashes after data now, and clears them by whole answers.

Both sides are tested: streams at killed upstreams, one by one or a zone at once, go on elsewhere and block nothing (streams_at_killed_upstreams_are_not_blocked).

--- a/src/direct/crash_guard.rs
+++ b/src/direct/crash_guard.rs
@@ -163,33 +163,35 @@
         self.record_crash(now, upstream, &crashed, source);
     }
 
-    /// Counts a crash against the requests that were lost at it without an event.
+    /// Counts a crash against the requests that were lost at it.
     fn record_crash(&self, now: Millis, upstream: &str, lost: &[Lost], source: &str) {
         if lost.is_empty() {
             return;
         }
-        // One request is the cause. Where one of them was being answered, it is that one.
-        let first = lost
-            .iter()
-            .map(|l| l.progress)
-            .filter(|p| *p != Progress::Event);
-        let Some(most) = first.max() else {
-            return;
-        };
+        // One request is the cause. Where the upstream had just begun one of them, it is that
+        // one; else it may be one that was being answered or waited.
+        let is_begun = |l: &&Lost| l.progress == Progress::Head;
+        let has_begun = lost.iter().any(|l| is_begun(&l));
+        let suspects = || lost.iter().filter(|l| !has_begun || is_begun(l));
         let log = self.node.log();
         self.node.metrics().count(Metric::CrashCounted, 1);
         if log.admits(now, Kind::Lost) {
             info!(log.logger(), "gate: upstream has crashed";
                 "upstream" => upstream, "lost" => lost.len(), "source" => source.to_string(),
-                "progress" => format!("{most:?}"));
+                "suspects" => suspects().count(), "begun" => has_begun);
         }
         let upstream = util::stable_hash([upstream]);
         let mut blocked = Vec::new();
         {
             let mut table = lock(&self.table);
-            for lost in lost.iter().filter(|l| l.progress == most) {
+            for lost in suspects() {
                 // A crash is known some time after the losses, which tell it from others.
-                blocked.extend(table.record_crash(lost.at, upstream, &lost.signatures, most));
+                blocked.extend(table.record_crash(
+                    lost.at,
+                    upstream,
+                    &lost.signatures,
+                    lost.progress,
+                ));
             }
         }
         for signature in blocked {
@@ -202,6 +204,11 @@
         lock(&self.table).record_answer(now, request);
     }
 
+    /// Records that an answer has ended whole.
+    pub fn record_finish(&self, now: Millis, request: &Signatures) {
+        lock(&self.table).record_finish(now, request);
+    }
+
     /// Merges what the process `source` has seen.
     pub fn merge(&self, now: Millis, reports: impl Iterator<Item = Report>, source: &str) {
         for report in reports {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -386,6 +386,7 @@
     /// Records a request whose answer is passed on whole.
     pub fn record_answer(&self, inbound: &InboundRequest, attempts: &Attempts, status: StatusCode) {
         let now = self.node.now();
+        self.crashes.record_finish(now, &inbound.signatures);
         self.node.metrics().outcome(Metric::RequestTotal, None);
         if self.node.log().admits(now, Kind::Answered) {
             info!(self.node.log().logger(), "route: request answered";
@@ -405,6 +406,7 @@
         pause: Millis,
     ) {
         let now = self.node.now();
+        self.crashes.record_finish(now, &inbound.signatures);
         self.node.metrics().outcome(Metric::RequestTotal, None);
         self.node.metrics().time(Metric::StreamFirst, first);
         self.node.metrics().time(Metric::StreamPause, pause);
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -439,8 +439,6 @@
     call.set_outcome(Outcome::Failed);
     let progress = call.progress();
     drop(call);
-    if inbound.route.repeat == Repeat::Resume {
-        entry.record_lost(inbound, target, progress);
-    }
+    entry.record_lost(inbound, target, progress);
     upstream
 }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -267,9 +267,12 @@
     /// Time since the last event of an answer, in milliseconds; none when there was none.
     #[prost(uint32, optional, tag = "4")]
     pub answered: Option<u32>,
-    /// Crashes that the sender has heard of, when the signature is blocked.
+    /// Crashes that the sender has heard of, when there are several.
     #[prost(message, repeated, tag = "5")]
     pub heard: Vec<CrashDoc>,
+    /// Time since an answer last ended whole, in milliseconds; none when none has.
+    #[prost(uint32, optional, tag = "6")]
+    pub finished: Option<u32>,
 }
 
 /// A crash of an upstream.
@@ -584,25 +587,19 @@
             upstream: crash.upstream,
             age: now.since(crash.at).0 as u32,
             points: crash.points(),
-            progress: crash.progress as u32 + 1,
+            progress: crash.progress.number(),
             sound: crash.sound,
         }
     }
 
     /// Returns the crash, with its time by the receiver's clock.
     fn to_crash(self, now: Millis) -> Crash {
-        let at = now.since(Millis(u64::from(self.age)));
-        let progress = match self.progress {
-            1 => Progress::Sent,
-            2 => Progress::Head,
-            3 => Progress::Event,
-            _ => return Crash::from_points(self.upstream, at, self.points),
-        };
+        let (progress, sound) = Crash::decode_progress(self.progress, self.sound, self.points);
         Crash {
             upstream: self.upstream,
-            at,
+            at: now.since(Millis(u64::from(self.age))),
             progress,
-            sound: self.sound,
+            sound,
         }
     }
 
@@ -621,6 +618,7 @@
             part: report.is_part,
             crashes: docs(&report.crashes),
             answered: report.answered.map(|at| now.since(at).0 as u32),
+            finished: report.finished.map(|at| now.since(at).0 as u32),
             heard: docs(&report.heard),
         }
     }
@@ -634,6 +632,7 @@
             crashes: crashes(&self.crashes),
             heard: crashes(&self.heard),
             answered: self.answered.map(|age| now.since(Millis(u64::from(age)))),
+            finished: self.finished.map(|age| now.since(Millis(u64::from(age)))),
         }
     }
 }
--- a/src/entry/running.rs
+++ b/src/entry/running.rs
@@ -56,6 +56,14 @@
     Failed(u32, Error),
 }
 
+/// An attempt at an upstream.
+#[derive(Debug)]
+struct Running {
+    upstream: Key<Upstream>,
+    /// True once data of the answer has come.
+    has_data: bool,
+}
+
 /// A request in progress; dropping it cancels its attempts.
 #[derive(Debug)]
 pub struct RunningRequest {
@@ -71,8 +79,8 @@
     /// Attempts in progress by number. Dropping a task closes its stream, which cancels
     /// the attempt at the agent.
     tasks: IndexMap<u32, Task<()>>,
-    /// Upstreams of the attempts of which no data has come, by number.
-    waiting: IndexMap<u32, Key<Upstream>>,
+    /// Upstreams of the attempts, by number.
+    running: IndexMap<u32, Running>,
     /// Channel to the caller, once the head has been sent; closed when the caller leaves.
     caller: Option<BodySender>,
     /// Timer and its time, kept between calls: setting a new timer for each frame wakes
@@ -101,7 +109,7 @@
             events,
             sender,
             tasks: IndexMap::new(),
-            waiting: IndexMap::new(),
+            running: IndexMap::new(),
             caller: None,
             timer: None,
         };
@@ -214,7 +222,7 @@
             }
             Some(FrameKind::Fail(fail)) => {
                 if fail.crashed {
-                    self.record_begun_crash(attempt);
+                    self.record_running_crash(attempt);
                 }
                 let error = agent_error(&self.entry, &self.request, attempt, &fail);
                 return self.fail(attempt, error);
@@ -237,23 +245,25 @@
         });
         if is_done && self.state.is_finished() {
             let node = &self.entry.node;
-            node.suspects
-                .record_success(node.clock.now(), &self.request.fingerprint);
+            let now = node.clock.now();
+            node.suspects.record_success(now, &self.request.fingerprint);
+            node.suspects.record_finish(now, &self.request.signatures);
         }
     }
 
     /// Records that the upstream of an attempt has begun the answer.
     fn record_data(&mut self, attempt: u32) {
-        if self.waiting.swap_remove(&attempt).is_some() {
+        let running = self.running.get_mut(&attempt);
+        if running.is_some_and(|r| !std::mem::replace(&mut r.has_data, true)) {
             let now = self.entry.node.clock.now();
             let suspects = &self.entry.node.suspects;
             suspects.record_data(now, &self.request.signatures);
         }
     }
 
-    /// Records that the upstream of an attempt has crashed, if no data of it had come.
-    fn record_begun_crash(&mut self, attempt: u32) {
-        let Some(upstream) = self.waiting.swap_remove(&attempt) else {
+    /// Records that the upstream of an attempt has crashed.
+    fn record_running_crash(&mut self, attempt: u32) {
+        let Some(Running { upstream, has_data }) = self.running.swap_remove(&attempt) else {
             return;
         };
         let pool = &self.request.route.pool;
@@ -264,7 +274,7 @@
         };
         let (now, addr) = (self.entry.node.clock.now(), addr.to_string());
         let suspects = &self.entry.node.suspects;
-        suspects.record_begun_crash(now, &addr, &self.request.signatures);
+        suspects.record_running_crash(now, &addr, &self.request.signatures, has_data);
     }
 
     /// Passes the failure of an attempt to the decision state.
@@ -365,7 +375,11 @@
             }
         });
         self.tasks.insert(attempt, task);
-        self.waiting.insert(attempt, upstream);
+        let running = Running {
+            upstream,
+            has_data: false,
+        };
+        self.running.insert(attempt, running);
     }
 }
 
--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -5,10 +5,10 @@
 //! different and share one part of their prompt. So a request has several signatures:
 //! one for all of it, and one for each part that other requests may have as well.
 //!
-//! An upstream that has sent an event of an answer has begun it without a crash. So a
-//! crash counts against the signatures of requests that were lost without an event, and
-//! an event clears the signatures of its request. What remains with several crashes and
-//! no event since is blocked.
+//! Only an answer that ends whole shows that a request is sound, as upstreams may crash at any
+//! point of it. For a part of prompts an event shows that upstreams don't crash on it before
+//! they have sent one; that clears the crashes before an event, which name their cause best.
+//! What remains with several crashes since is blocked.
 //!
 //! A request that was never answered counts for itself: it has run at each of its crashes, also
 //! at those that come within a few milliseconds, as it is sent again. Parts of prompts, and
@@ -38,7 +38,8 @@
 const SOUND_POINTS: u32 = 2;
 
 /// Points of a crash when the upstream had sent nothing: it may have run the request, or
-/// another one while this one waited.
+/// another one while this one waited. The same when it had sent an event, as it sends many
+/// answers at a time.
 const WAITING_POINTS: u32 = 2;
 
 /// Time within which crashes of several upstreams belong to one episode. Many upstreams that
@@ -148,20 +149,27 @@
 }
 }
 
+impl Progress {
+    /// Number by which messages name it; 0 is none.
+    pub fn number(self) -> u32 {
+        match self {
+            Progress::Sent => 1,
+            Progress::Head => 2,
+            Progress::Event => 3,
+        }
+    }
+}
+
 impl Crash {
-    /// Returns the crash that a message describes by its points alone.
-    pub fn from_points(upstream: u64, at: Millis, points: u32) -> Crash {
-        let progress = if points >= SOUND_POINTS {
-            Progress::Head
-        } else {
-            Progress::Sent
-        };
-        let sound = points <= SOUND_POINTS;
-        Crash {
-            upstream,
-            at,
-            progress,
-            sound,
+    /// Returns the progress and whether requests were answered before, as a message has them;
+    /// earlier releases state only points.
+    pub fn decode_progress(number: u32, sound: bool, points: u32) -> (Progress, bool) {
+        match number {
+            1 => (Progress::Sent, sound),
+            2 => (Progress::Head, sound),
+            3 => (Progress::Event, sound),
+            _ if points >= SOUND_POINTS => (Progress::Head, points == SOUND_POINTS),
+            _ => (Progress::Sent, false),
         }
     }
 
@@ -189,6 +197,8 @@
     pub heard: Vec<Crash>,
     /// When an upstream last sent an event of an answer; none when that is not known.
     pub answered: Option<Millis>,
+    /// When an answer last ended whole; none when that is not known.
+    pub finished: Option<Millis>,
 }
 }
 
@@ -211,10 +221,12 @@
     is_part: bool,
     /// Crashes, and whether this process has seen them itself.
     crashes: Vec<(Crash, bool)>,
-    /// Last answer that this process has seen since the first crash.
+    /// When this process last saw an answer that concerns peers.
     own_answered: Option<Millis>,
-    /// Last answer known.
+    /// Last event of an answer known.
     answered: Option<Millis>,
+    /// Last whole answer known.
+    finished: Option<Millis>,
     /// When a request was last sent to test it.
     tested_at: Option<Millis>,
 }
@@ -241,10 +253,14 @@
 }
 
 impl Suspect {
-    /// Crashes after the last answer.
+    /// Crashes after the last answer that clears them.
     fn pending(&self) -> impl Iterator<Item = Crash> + '_ {
         let crashes = self.crashes.iter().map(|(crash, _)| *crash);
-        crashes.filter(|crash| self.answered.is_none_or(|at| crash.at > at))
+        crashes.filter(|crash| {
+            let is_cleared_by_event = self.is_part && crash.progress != Progress::Event;
+            let event = self.answered.filter(|_| is_cleared_by_event);
+            self.finished.max(event).is_none_or(|at| crash.at > at)
+        })
     }
 
     /// Calls `act` with the points of each episode after the last answer, the earliest first.
@@ -326,7 +342,7 @@
             held.upstream == crash.upstream && gap < SAME_CRASH_TIME
         };
         if let Some((held, own)) = self.crashes.iter_mut().find(|(held, _)| is_same(held)) {
-            if crash.points() > held.points() {
+            if (crash.points(), crash.progress) > (held.points(), held.progress) {
                 (held.progress, held.sound) = (crash.progress, crash.sound);
             }
             *own |= is_own;
@@ -350,32 +366,60 @@
         self.crashes.remove(usize::MAX - best.1);
     }
 
-    fn add_answer(&mut self, at: Millis) {
-        self.answered = self.answered.max(Some(at));
+    fn add_answers(&mut self, answers: &LastAnswers) {
+        self.answered = self.answered.max(answers.event);
+        self.finished = self.finished.max(answers.whole);
+    }
+}
+
+common! { key
+/// Last answers to requests with a signature.
+#[derive(Default)]
+struct LastAnswers {
+    /// When the last event was sent.
+    event: Option<Millis>,
+    /// When the last one ended whole.
+    whole: Option<Millis>,
+}
+}
+
+impl LastAnswers {
+    /// Returns the last one that clears a crash with this progress.
+    fn clearing(&self, is_part: bool, progress: Progress) -> Option<Millis> {
+        let event = self
+            .event
+            .filter(|_| is_part && progress != Progress::Event);
+        self.whole.max(event)
     }
 }
 
-/// Last answers to requests with a signature, in two generations: when the newer one is full
-/// or old, it takes the place of the older one.
+/// Last answers by signature, in two generations: when the newer one is full or old, it takes
+/// the place of the older one.
 #[derive(Clone, Debug, Default)]
 struct Answers {
-    newer: IndexMap<u64, Millis>,
-    older: IndexMap<u64, Millis>,
+    newer: IndexMap<u64, LastAnswers>,
+    older: IndexMap<u64, LastAnswers>,
     started: Millis,
 }
 
 impl Answers {
-    fn insert(&mut self, now: Millis, signature: u64) {
+    fn insert(&mut self, now: Millis, signature: u64, answers: LastAnswers) {
         if self.newer.len() >= MAX_SOUND || now.since(self.started) >= SOUND_TIME {
             self.older = std::mem::take(&mut self.newer);
             self.started = now;
         }
-        self.newer.insert(signature, now);
+        let held = self.last(signature);
+        let merged = LastAnswers {
+            event: held.event.max(answers.event),
+            whole: held.whole.max(answers.whole),
+        };
+        self.newer.insert(signature, merged);
     }
 
-    fn last(&self, signature: u64) -> Option<Millis> {
+    fn last(&self, signature: u64) -> LastAnswers {
         let held = self.newer.get(&signature);
-        held.or_else(|| self.older.get(&signature)).copied()
+        let held = held.or_else(|| self.older.get(&signature));
+        held.copied().unwrap_or_default()
     }
 }
 
@@ -418,8 +462,8 @@
         })
     }
 
-    /// Counts a crash against a request that was lost at `now` without an event; `progress`
-    /// is how far the upstream had come with it.
+    /// Counts a crash against a request that was lost at `now`; `progress` is how far the
+    /// upstream had come with it.
     ///
     /// Returns the signatures that this blocks.
     pub fn record_crash(
@@ -431,7 +475,9 @@
     ) -> Vec<u64> {
         let mut blocked = Vec::new();
         for signature in request.all() {
-            let answered = self.answers.last(signature);
+            let is_part = signature != request.request;
+            let answers = self.answers.last(signature);
+            let answered = answers.clearing(is_part, progress);
             let crash = Crash {
                 upstream,
                 at: now,
@@ -440,11 +486,11 @@
             };
             let suspect = self.suspect(now, signature);
             let was_blocked = suspect.is_blocked();
-            suspect.is_part |= signature != request.request;
+            suspect.is_part |= is_part;
             suspect.add(crash, true);
             // The crash may be known only after the request was answered elsewhere.
-            if let Some(at) = answered.filter(|at| *at >= now) {
-                suspect.add_answer(at);
+            if answered.is_some_and(|at| at >= now) {
+                suspect.add_answers(&answers);
             }
             if !was_blocked && suspect.is_blocked() {
                 blocked.push(signature);
@@ -453,19 +499,38 @@
         blocked
     }
 
-    /// Clears the signatures of a request of whose answer an event has arrived.
+    /// Records that an event of the answer to a request has arrived.
     pub fn record_answer(&mut self, now: Millis, request: &Signatures) {
+        let answers = LastAnswers {
+            event: Some(now),
+            whole: None,
+        };
+        for part in &request.parts {
+            self.clear(now, *part, answers);
+        }
+    }
+
+    /// Records that the answer to a request has ended whole.
+    pub fn record_finish(&mut self, now: Millis, request: &Signatures) {
+        let answers = LastAnswers {
+            event: Some(now),
+            whole: Some(now),
+        };
         for signature in request.all() {
-            self.answers.insert(now, signature);
-            let Some(suspect) = self.suspects.get_mut(&signature) else {
-                continue;
-            };
-            if suspect.is_told(now) {
-                suspect.own_answered = Some(now);
-            }
-            if suspect.points() > 0 {
-                suspect.add_answer(now);
-            }
+            self.clear(now, signature, answers);
+        }
+    }
+
+    /// Clears the crashes of a signature before an answer.
+    fn clear(&mut self, now: Millis, signature: u64, answers: LastAnswers) {
+        self.answers.insert(now, signature, answers);
+        let Some(suspect) = self.suspects.get_mut(&signature) else {
+            return;
+        };
+        let (was_told, points) = (suspect.is_told(now), suspect.points());
+        suspect.add_answers(&answers);
+        if was_told && suspect.points() < points {
+            suspect.own_answered = Some(now);
         }
     }
 
@@ -473,21 +538,21 @@
     ///
     /// The peer is told in turn of an answer that this process has seen since.
     pub fn merge(&mut self, now: Millis, report: &Report) -> bool {
-        let own_answered = self.answers.last(report.signature);
+        let own = self.answers.last(report.signature);
         let suspect = self.suspect(now, report.signature);
         let was_blocked = suspect.is_blocked();
         suspect.is_part |= report.is_part;
         for crash in report.crashes.iter().chain(&report.heard) {
             suspect.add(*crash, false);
         }
-        if let Some(at) = report.answered {
-            suspect.add_answer(at);
-        }
-        if let Some(at) = own_answered
-            && suspect.pending().any(|crash| crash.at <= at)
-        {
+        suspect.add_answers(&LastAnswers {
+            event: report.answered,
+            whole: report.finished,
+        });
+        let points = suspect.points();
+        suspect.add_answers(&own);
+        if suspect.points() < points {
             suspect.own_answered = Some(now);
-            suspect.add_answer(at);
         }
         !was_blocked && suspect.is_blocked()
     }
@@ -559,6 +624,7 @@
                     Vec::new()
                 },
                 answered: suspect.answered.filter(|_| answered.is_some()),
+                finished: suspect.finished.filter(|_| answered.is_some()),
             };
             let is_known = !report.crashes.is_empty() || !report.heard.is_empty() || is_answered;
             // Many requests may have waited at one crash, so these take turns.
--- a/src/node/suspects.rs
+++ b/src/node/suspects.rs
@@ -58,11 +58,27 @@
         }
     }
 
-    /// Counts a crash of the upstream at `addr` against a request that it was running and
-    /// of whose answer no data had come.
-    pub fn record_begun_crash(&self, now: Millis, addr: &str, request: &Signatures) {
+    /// Counts a crash of the upstream at `addr` against a request that it was running;
+    /// `has_data` tells whether data of the answer had come.
+    pub fn record_running_crash(
+        &self,
+        now: Millis,
+        addr: &str,
+        request: &Signatures,
+        has_data: bool,
+    ) {
         let upstream = util::stable_hash([addr]);
-        util::lock(&self.signatures).record_crash(now, upstream, request, Progress::Head);
+        let progress = if has_data {
+            Progress::Event
+        } else {
+            Progress::Head
+        };
+        util::lock(&self.signatures).record_crash(now, upstream, request, progress);
+    }
+
+    /// Clears what a request has in common with others, as its answer has ended whole.
+    pub fn record_finish(&self, now: Millis, request: &Signatures) {
+        util::lock(&self.signatures).record_finish(now, request);
     }
 
     /// Clears what a request has in common with others, as data of its answer has come.
@@ -79,6 +95,8 @@
                 upstream: crash.upstream,
                 age_ms: now.since(crash.at).0,
                 points: crash.points(),
+                progress: crash.progress.number(),
+                sound: crash.sound,
             });
             docs.collect()
         };
@@ -88,6 +106,7 @@
             part: report.is_part,
             crashes: docs(&report.crashes),
             answered_ms: report.answered.map(|at| now.since(at).0),
+            finished_ms: report.finished.map(|at| now.since(at).0),
             heard: docs(&report.heard),
         });
         reports.collect()
@@ -97,7 +116,13 @@
     pub fn merge_signatures(&self, now: Millis, reports: &[proto::Signature]) {
         let crashes = |docs: &[proto::Crash]| {
             let crash = |doc: &proto::Crash| {
-                Crash::from_points(doc.upstream, now.since(Millis(doc.age_ms)), doc.points)
+                let (progress, sound) = Crash::decode_progress(doc.progress, doc.sound, doc.points);
+                Crash {
+                    upstream: doc.upstream,
+                    at: now.since(Millis(doc.age_ms)),
+                    progress,
+                    sound,
+                }
             };
             docs.iter().map(crash).collect()
         };
@@ -109,6 +134,7 @@
                 crashes: crashes(&doc.crashes),
                 heard: crashes(&doc.heard),
                 answered: doc.answered_ms.map(|age| now.since(Millis(age))),
+                finished: doc.finished_ms.map(|age| now.since(Millis(age))),
             };
             table.merge(now, &report);
         }
--- a/src/proto.rs
+++ b/src/proto.rs
@@ -241,6 +241,9 @@
     /// Crashes that the sender has heard of, when the signature is blocked.
     #[prost(message, repeated, tag = "5")]
     pub heard: ::prost::alloc::vec::Vec<Crash>,
+    /// Time since an answer last ended whole; none when none has.
+    #[prost(uint64, optional, tag = "6")]
+    pub finished_ms: ::core::option::Option<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Crash {
@@ -249,9 +252,16 @@
     pub upstream: u64,
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
-    /// How much it counts.
+    /// How much it counts, for releases that do not read `progress`.
     #[prost(uint32, tag = "3")]
     pub points: u32,
+    /// How far the upstream had come: 1 had sent nothing, 2 the head, 3 data of the answer; 0
+    /// when an earlier release does not say.
+    #[prost(uint32, tag = "4")]
+    pub progress: u32,
+    /// True when requests with the signature were answered shortly before.
+    #[prost(bool, tag = "5")]
+    pub sound: bool,
 }
 /// Requests a minute of one organisation that the sender admits; `cost` is not used yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/crash_table.rs
+++ b/tests/crash_table.rs
@@ -304,7 +304,7 @@
     }
     assert!(table.export(Millis(10)).is_empty());
     for n in 0..40 {
-        table.record_answer(Millis(100 + n), &request(n, &[n]));
+        table.record_finish(Millis(100 + n), &request(n, &[n]));
     }
     assert!(table.export(Millis(200)).is_empty());
     // One of an upstream that had begun is told, and its answer only for some time.
@@ -342,7 +342,12 @@
         let now = Millis(n * 10);
         let parts = [rng.u64(..), rng.u64(..8)];
         match rng.u32(..4) {
-            0 => table.record_answer(now, &request(n, &parts)),
+            0 => {
+                table.record_answer(now, &request(n, &parts));
+                if rng.bool() {
+                    table.record_finish(now, &request(n, &parts));
+                }
+            }
             1 => {
                 let progress = any_progress(&mut rng);
                 table.record_crash(now, rng.u64(..4), &request(n, &parts), progress);
@@ -363,6 +368,7 @@
                     heard: Vec::new(),
                     crashes,
                     answered: rng.bool().then(|| Millis(rng.u64(..=now.0))),
+                    finished: rng.bool().then(|| Millis(rng.u64(..=now.0))),
                 };
                 table.merge(now, &report);
             }
@@ -457,10 +463,11 @@
 }
 
 /// Guards against a request that is never blocked, as its upstreams crash before they have sent
-/// anything: its crashes come within a few milliseconds and are taken for one, or are so many
-/// that those of earlier rounds are dropped, or each entry has seen only one of them.
+/// anything, or after an event, which is taken for a proof that it is sound. Its crashes come
+/// within a few milliseconds and are taken for one, or are so many that those of earlier rounds
+/// are dropped, or each entry has seen only one of them.
 #[test]
-fn request_without_head_is_blocked() {
+fn crashes_in_all_patterns_add_up() {
     /// Retries that may reach upstreams later than [`CONTACT_MS`] after the third crash.
     const MAX_RETRIES: usize = 3;
     const CONTACT_MS: u64 = 3_000;
@@ -478,11 +485,13 @@
         ),
     ];
     for (name, crashes) in patterns {
-        let reached = crashes_until_blocked(8, &crashes, Progress::Sent);
-        let late = crashes[..reached].iter();
-        let late = late.filter(|(at, _)| *at > crashes[2].0 + CONTACT_MS);
-        let late = late.count();
-        assert!(late <= MAX_RETRIES, "{name}: {late} late retries");
+        for progress in [Progress::Sent, Progress::Event] {
+            let reached = crashes_until_blocked(8, &crashes, progress);
+            let late = crashes[..reached].iter();
+            let late = late.filter(|(at, _)| *at > crashes[2].0 + CONTACT_MS);
+            let late = late.count();
+            assert!(late <= MAX_RETRIES, "{name}, {progress:?}: {late} late");
+        }
     }
 }
 
@@ -495,7 +504,7 @@
     for round in 0..6_u64 {
         let start = 1_000 + round * 5_000;
         for table in &mut tables {
-            table.record_answer(Millis(start - 900), &popular);
+            table.record_finish(Millis(start - 900), &popular);
         }
         for upstream in 0..9 {
             let entry = upstream as usize % 3;
@@ -531,7 +540,7 @@
     let (mut lost, mut served) = (CrashTable::default(), CrashTable::default());
     let popular = request(1, &[]);
     lost.record_crash(Millis(0), 1, &popular, Progress::Head);
-    served.record_answer(Millis(500), &popular);
+    served.record_finish(Millis(500), &popular);
     for report in lost.export(Millis(1_200)) {
         served.merge(Millis(1_210), &report);
     }
@@ -561,3 +570,66 @@
     let next = request(91, &[DEADLY]);
     assert_eq!(verdict(&mut table, 25_100, &next), Verdict::Block(DEADLY));
 }
+
+/// Guards against a stream that is never blocked, as upstreams crash on it now before and now
+/// after its first event.
+#[test]
+fn events_do_not_clear_a_request() {
+    let mut table = CrashTable::default();
+    let stream = request(1, &[]);
+    for n in 0..4 {
+        let at = n * 5_000;
+        let progress = [Progress::Head, Progress::Event][n as usize % 2];
+        if progress == Progress::Event {
+            table.record_answer(Millis(at), &stream);
+        }
+        table.record_crash(Millis(at + 20), n, &stream, progress);
+    }
+    assert_eq!(
+        verdict(&mut table, 20_000, &stream),
+        Verdict::Block(stream.request)
+    );
+    table.record_finish(Millis(20_100), &stream);
+    assert_eq!(verdict(&mut table, 20_200, &stream), Verdict::Pass);
+}
+
+/// Guards against a part of prompts on which upstreams crash after some events: the events of
+/// its own requests do not show that it is sound.
+#[test]
+fn part_that_crashes_after_events_is_blocked() {
+    let mut table = CrashTable::default();
+    for n in 0..6 {
+        let at = 1_000 + n * 3_000;
+        let lost = request(n, &[COMMON, DEADLY]);
+        table.record_answer(Millis(at), &lost);
+        table.record_crash(Millis(at + 300), n, &lost, Progress::Event);
+        table.record_finish(Millis(at + 900), &request(500 + n, &[COMMON]));
+    }
+    let deadly = request(50, &[COMMON, DEADLY]);
+    assert_eq!(verdict(&mut table, 20_000, &deadly), Verdict::Block(DEADLY));
+    let sound = request(51, &[COMMON]);
+    assert_eq!(verdict(&mut table, 20_000, &sound), Verdict::Pass);
+}
+
+/// Guards against sound streams, and the parts that they share, blocked as they were being sent
+/// by upstreams that were killed, one by one or a zone at once, and went on elsewhere.
+#[test]
+fn streams_at_killed_upstreams_are_not_blocked() {
+    let mut table = CrashTable::default();
+    for kill in 0..12_u64 {
+        let at = 1_000 + kill * 2_000;
+        let upstreams = if kill % 3 == 0 { 5 } else { 1 };
+        for upstream in 0..upstreams {
+            for stream in 0..16 {
+                let lost = request(kill * 100 + upstream * 16 + stream, &[COMMON, kill]);
+                table.record_crash(Millis(at + upstream), upstream, &lost, Progress::Event);
+                let next = table.verdict(Millis(at + 10), &lost, true, |_| false);
+                assert_eq!(next, Verdict::Pass, "goes on elsewhere, kill {kill}");
+            }
+        }
+        table.record_finish(Millis(at + 1_200), &request(kill * 100, &[COMMON, kill]));
+        let next = request(90_000 + kill, &[COMMON]);
+        assert_eq!(verdict(&mut table, at + 1_500, &next), Verdict::Pass);
+    }
+    assert_eq!(table.blocked(), 0);
+}
--- a/tests/deadly_request.rs
+++ b/tests/deadly_request.rs
@@ -107,3 +107,17 @@
 fn request_without_head_stops() {
     play(45, "GET", "/safe/deadly", Crash::AtOnce);
 }
+
+/// Guards against a stream that is never blocked, as runners crash on it only after they have
+/// sent an event.
+#[test]
+fn stream_lost_after_an_event_stops() {
+    play(46, "POST", "/stream/deadly", Crash::AfterEvent(20));
+}
+
+/// Guards against the same where the runner goes on for longer than it takes to notice that
+/// others have ended.
+#[test]
+fn stream_lost_late_stops() {
+    play(47, "POST", "/stream/deadly", Crash::AfterEvent(300));
+}
--- a/tests/prompt_prefix.rs
+++ b/tests/prompt_prefix.rs
@@ -92,7 +92,7 @@
     let (own, peer) = (Suspects::default(), Suspects::default());
     for n in 0..3 {
         let at = Millis(1_000 + n * 1_000);
-        own.record_begun_crash(at, &format!("u{n}"), &request(n));
+        own.record_running_crash(at, &format!("u{n}"), &request(n), false);
     }
     let notice = own.export_signatures(Millis(4_000));
     peer.merge_signatures(Millis(9_000), &notice);
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -360,6 +360,8 @@
     AtOnce,
     /// Once it has sent the head of the answer.
     AfterHead,
+    /// This time after it has sent the first event of a stream, in milliseconds.
+    AfterEvent(u64),
 }
 
 /// A stand-in runner: carries out acts in order, one for each request, and records
@@ -510,12 +512,18 @@
             let id = request.header("x-request-id").unwrap_or("").to_string();
             let previous = last_id.replace(id.clone());
             let crash = self.crash_on(&request);
+            let after = request.header("last-event-id").and_then(|v| v.parse().ok());
+            let first = after.unwrap_or(0) + 1;
             self.requests.lock().unwrap().push(request);
             self.arrived_at.lock().unwrap().push(Instant::now());
             if let Some(crash) = crash {
-                if crash == Crash::AfterHead {
+                if crash != Crash::AtOnce {
                     stream_head(&mut stream, &id);
                 }
+                if let Crash::AfterEvent(ms) = crash {
+                    events(&mut stream, first, first);
+                    thread::sleep(Duration::from_millis(ms));
+                }
                 self.is_down.store(true, Ordering::Relaxed);
                 return self.wait_until_up();
             }
