tests: Show that an answer cut in its head is no success

Reported by another operator: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -322,6 +322,32 @@
     /// Sends these bytes after the usual status line and headers, and closes the
     /// connection.
     Cut(&'static str),
+    /// Sends so many bytes of an answer, in which `{id}` stands for the id of the request, and
+    /// closes the connection.
+    Part(&'static str, usize),
+    /// The runner that is asked first carries out the first act, the others the second one.
+    First(Arc<AtomicBool>, Box<[Act; 2]>),
+}
+
+impl Act {
+    /// Returns an act that differs for the runner that is asked first.
+    pub fn first(first: Act, others: Act) -> Act {
+        Act::First(Arc::default(), Box::new([first, others]))
+    }
+
+    fn resolve(self) -> Act {
+        match self {
+            Act::First(is_taken, acts) => {
+                let [first, others] = *acts;
+                if is_taken.swap(true, Ordering::Relaxed) {
+                    others
+                } else {
+                    first
+                }
+            }
+            act => act,
+        }
+    }
 }
 
 /// Bytes that a stand-in sends without end.
@@ -529,7 +555,7 @@
             }
             let act = self.acts.lock().unwrap().pop_front();
             let own = [("X-Request-Id", id.as_str()), ("X-Response-Seal", "seal")];
-            match act.unwrap_or(Act::Answer("whole")) {
+            match act.unwrap_or(Act::Answer("whole")).resolve() {
                 Act::Answer(body) => answer(&mut stream, 200, &own, body.as_bytes()),
                 Act::NotRun => answer(&mut stream, 503, &[own[0], ("X-Not-Run", "1")], b""),
                 Act::Reset => return,
@@ -620,6 +646,12 @@
                     let _ = stream.write_all(head.as_bytes());
                     return;
                 }
+                Act::First(..) => unreachable!("resolved above"),
+                Act::Part(text, length) => {
+                    let text = text.replace("{id}", &id);
+                    let _ = stream.write_all(&text.as_bytes()[..length.min(text.len() - 1)]);
+                    return;
+                }
                 Act::Endless(endless) => {
                     self.open_endless.fetch_add(1, Ordering::Relaxed);
                     endless.send(&mut stream, &id, &self.endless_bytes);
