gate: Take answers that are broken off in turn for no crash

Found while answers were cut at each byte (cut_head): requests to sound upstreams were refused with E4009 for 30 s. Log: 'upstream has crashed', lost 9, source 'lost requests', while the upstream answered others between.

Cause: three losses at one upstream within 150 ms were taken for a crash, also where each request was sent after the loss of the one before. Such an upstream has accepted it, so it lives on and breaks answers off.

Change: only losses of requests that were sent before the first of them count together. Crashes are still known from refused connections and from the upstream's agent.

answers_broken_off_in_turn_are_no_crash fails before (a crash at the third loss) and passes after; crash_table, crash_witness, prompt_part and deadly_request pass.

--- a/src/direct/crash_guard.rs
+++ b/src/direct/crash_guard.rs
@@ -132,10 +132,11 @@
         }
     }
 
-    /// Records a request whose upstream ended the connection.
+    /// Records a request, sent at `sent`, whose upstream ended the connection.
     pub fn record_lost(
         &self,
         now: Millis,
+        sent: Millis,
         inbound: &InboundRequest,
         upstream: &str,
         progress: Progress,
@@ -152,7 +153,7 @@
             signatures: inbound.signatures.clone(),
             progress,
         };
-        let crashed = lock(&self.detector).record_loss(now, upstream, lost);
+        let crashed = lock(&self.detector).record_loss(now, sent, upstream, lost);
         self.record_crash(now, upstream, &crashed, "lost requests");
     }
 
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -124,16 +124,12 @@
 pub struct CallGuard {
     entry: Arc<Entry>,
     call: Key<Call>,
+    sent: Millis,
     outcome: Outcome,
     progress: Progress,
 }
 
 impl CallGuard {
-    /// Returns how far the upstream has come with the call.
-    pub fn progress(&self) -> Progress {
-        self.progress
-    }
-
     /// Records the head of an answer.
     pub fn record_head(&mut self) {
         self.progress = Progress::Head;
@@ -270,6 +266,7 @@
         CallGuard {
             entry: self.clone(),
             call,
+            sent: now,
             outcome: Outcome::Dropped,
             progress: Progress::Sent,
         }
@@ -368,11 +365,12 @@
         act(budget)
     }
 
-    /// Records a request whose upstream ended the connection.
-    pub fn record_lost(&self, inbound: &InboundRequest, target: Key<Target>, progress: Progress) {
+    /// Records a call whose upstream ended the connection.
+    pub fn record_lost(&self, inbound: &InboundRequest, target: Key<Target>, call: &CallGuard) {
         let upstream = self.upstream_id(target);
-        let now = self.node.now();
-        self.crashes.record_lost(now, inbound, &upstream, progress);
+        let (now, progress) = (self.node.now(), call.progress);
+        self.crashes
+            .record_lost(now, call.sent, inbound, &upstream, progress);
     }
 
     /// Records an upstream at whose address no process listens.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -437,8 +437,7 @@
         ..
     } = stream;
     call.set_outcome(Outcome::Failed);
-    let progress = call.progress();
+    entry.record_lost(inbound, target, &call);
     drop(call);
-    entry.record_lost(inbound, target, progress);
     upstream
 }
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -412,7 +412,7 @@
                 _ => Outcome::Failed,
             });
             if is_lost {
-                entry.record_lost(inbound, target, call.progress());
+                entry.record_lost(inbound, target, &call);
             }
             SendOutcome::Unknown(error)
         }
--- a/src/gate/crash.rs
+++ b/src/gate/crash.rs
@@ -24,6 +24,7 @@
 /// A request whose upstream ended the connection.
 #[derive(Clone, Debug)]
 struct Loss<T> {
+    sent: Millis,
     at: Millis,
     upstream: String,
     request: T,
@@ -48,15 +49,17 @@
 }
 
 impl<T> CrashDetector<T> {
-    /// Records that an upstream ended the connection of a request.
+    /// Records that an upstream ended the connection of a request that was sent to it at
+    /// `sent`.
     ///
     /// Returns the requests that were there at a crash: all that were lost there, when
     /// enough of them were lost at once to show a crash, or this one, when the upstream is
     /// known to have ended.
     ///
     /// If most of the requests that were lost at that time were at other upstreams, the
-    /// connections of this process were reset, and no upstream has crashed.
-    pub fn record_loss(&mut self, now: Millis, upstream: &str, request: T) -> Vec<T> {
+    /// connections of this process were reset, and no upstream has crashed. An upstream that
+    /// has accepted a request after it lost another one lives on: it breaks off answers.
+    pub fn record_loss(&mut self, now: Millis, sent: Millis, upstream: &str, request: T) -> Vec<T> {
         self.losses.retain(|l| now.since(l.at) < RELATED_TIME);
         if self.losses.len() >= MAX_LOSSES {
             self.losses.pop_front();
@@ -66,6 +69,7 @@
             return vec![request];
         }
         self.losses.push_back(Loss {
+            sent,
             at: now,
             upstream: upstream.to_string(),
             request,
@@ -73,7 +77,9 @@
         let latest = self.losses.iter();
         let latest = latest.filter(|l| now.since(l.at) < CRASH_WINDOW);
         let (here, elsewhere): (Vec<_>, Vec<_>) = latest.partition(|l| l.upstream == upstream);
-        if here.len() >= CRASH_LOSSES && here.len() > elsewhere.len() {
+        let first = here.iter().map(|l| l.at).min().unwrap_or(now);
+        let together = here.iter().filter(|l| l.sent <= first).count();
+        if together >= CRASH_LOSSES && together > elsewhere.len() {
             self.record_end(now, now, upstream)
         } else {
             Vec::new()
--- a/tests/crash_table.rs
+++ b/tests/crash_table.rs
@@ -387,18 +387,34 @@
 #[test]
 fn end_told_by_others_shows_a_crash() {
     let mut detector = CrashDetector::default();
-    assert!(detector.record_loss(Millis(10), "u", 1).is_empty());
+    assert!(
+        detector
+            .record_loss(Millis(10), Millis(0), "u", 1)
+            .is_empty()
+    );
     assert_eq!(detector.record_end(Millis(60), Millis(15), "u"), [1]);
-    assert_eq!(detector.record_loss(Millis(70), "u", 2), [2]);
-    assert!(detector.record_loss(Millis(70), "other", 3).is_empty());
-    assert!(detector.record_loss(Millis(1_600), "u", 4).is_empty());
+    assert_eq!(detector.record_loss(Millis(70), Millis(0), "u", 2), [2]);
+    assert!(
+        detector
+            .record_loss(Millis(70), Millis(0), "other", 3)
+            .is_empty()
+    );
+    assert!(
+        detector
+            .record_loss(Millis(1_600), Millis(0), "u", 4)
+            .is_empty()
+    );
     // A report of an end that came late says nothing of later losses.
     assert!(
         detector
             .record_end(Millis(4_000), Millis(1_000), "u")
             .is_empty()
     );
-    assert!(detector.record_loss(Millis(4_010), "u", 5).is_empty());
+    assert!(
+        detector
+            .record_loss(Millis(4_010), Millis(0), "u", 5)
+            .is_empty()
+    );
 }
 
 /// Guards against resets of the entry's own connections that count as crashes.
@@ -409,7 +425,7 @@
         let upstream = format!("u{}", n % 4);
         assert!(
             detector
-                .record_loss(Millis(10 + n), &upstream, n)
+                .record_loss(Millis(10 + n), Millis(0), &upstream, n)
                 .is_empty()
         );
     }
@@ -633,3 +649,20 @@
     }
     assert_eq!(table.blocked(), 0);
 }
+
+/// Guards against sound requests blocked as one upstream breaks off each answer at once: it is
+/// sent the next request after the loss of the one before, so it has not crashed.
+#[test]
+fn answers_broken_off_in_turn_are_no_crash() {
+    let mut detector = CrashDetector::default();
+    for n in 0..30_u64 {
+        let (sent, lost) = (Millis(10 * n + 1), Millis(10 * n + 4));
+        let crashed = detector.record_loss(lost, sent, "u", n);
+        assert!(crashed.is_empty(), "{crashed:?}");
+    }
+    // Those that were there together show a crash.
+    for n in 0..3 {
+        let crashed = detector.record_loss(Millis(1_000 + n), Millis(900), "u", 90 + n);
+        assert_eq!(crashed.contains(&92), n == 2);
+    }
+}
