entry: Answer each request before a planned stop ends

Reported by another operator: in a planned stop in calm, requests that came late in the grace time were passed on, and cut without an answer at its end, also some that may not be repeated (LOST). It could happen here: a request whose head or body is on its way when the stop begins is read until the end, was passed on at any moment of the grace time, and its connection was closed with the process.

Cause: deadlines of requests did not know of the end of the process.

Change: a stop has two times. Each request is answered 200 ms before the process ends: that counts as its deadline, also for runners, which work no longer then. Once connections are no longer accepted, a request whose own deadline lies beyond that is refused with 503, as it has not run and other entries take it at once (E4022).

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -26,6 +26,7 @@
 use crate::direct::inbound;
 use crate::direct::inbound::InboundRequest;
 use crate::direct::node::Node;
+use crate::direct::node::Stop;
 use crate::direct::replication;
 use crate::direct::send;
 use crate::direct::send::Attempts;
@@ -62,6 +63,10 @@
 /// sending them after two failed readiness checks, a second apart.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
 
+/// Time before the end of a stopping process at which each request must have its answer, so
+/// that it is still written.
+const ANSWER_MARGIN: Millis = Millis(200);
+
 /// Time before the kill that follows a stop at which the process ends, with
 /// requests still running or not.
 const STOP_MARGIN: Millis = Millis(500);
@@ -510,6 +515,10 @@
     /// Sends a request to upstreams.
     async fn send(self: Arc<Entry>, inbound: InboundRequest) -> Response<BoxBody> {
         let now = self.node.now();
+        if let Some(error) = self.refuse_late(now, &inbound) {
+            self.record_refusal(&inbound.call.id, &error);
+            return failure_response(&inbound.call.id, &error, None);
+        }
         self.count_request(now, &inbound.profile.pool);
         let id = inbound.call.id.clone();
         let patience = inbound.profile.time_left;
@@ -519,7 +528,25 @@
         }
     }
 
-    /// Records a request that is refused before it is matched or read.
+    /// Returns when a request must have its answer: by its deadline, and before this process
+    /// ends.
+    pub fn answer_by(&self, inbound: &InboundRequest) -> Millis {
+        let stop = self.node.stop_times();
+        stop.map_or(inbound.deadline, |stop| stop.ends_at.min(inbound.deadline))
+    }
+
+    /// Returns the error for a request that arrives late in a planned stop, when this process
+    /// may end before it is answered. Other entries take it at once.
+    fn refuse_late(&self, now: Millis, inbound: &InboundRequest) -> Option<Error> {
+        let stop = self.node.stop_times()?;
+        let is_late = now >= stop.closes_at && inbound.deadline > stop.ends_at;
+        is_late.then(|| {
+            let detail = format!("this process ends in {} ms", stop.ends_at.since(now).0);
+            Error::new(Code::EntryLeaving, detail).with_retry(Millis(0))
+        })
+    }
+
+    /// Records a request that is refused before it is matched or read, or as the process stops.
     fn record_refusal(&self, id: &str, error: &Error) {
         let now = self.node.now();
         let metrics = self.node.metrics();
@@ -636,11 +663,14 @@
         info!(self.node.log().logger(), "process: serving"; "addr" => addr.to_string());
         let _ = stop.recv().await;
         let stopped_at = self.node.now();
-        self.node.stop();
+        let grace = self.node.settings().grace.since(STOP_MARGIN);
+        self.node.stop(Stop {
+            closes_at: stopped_at.plus(Millis(BALANCER_DELAY.as_millis() as u64)),
+            ends_at: stopped_at.plus(grace.since(ANSWER_MARGIN)),
+        });
         info!(self.node.log().logger(), "process: stopping"; "running" => self.placer().in_flight());
         smol::Timer::after(BALANCER_DELAY).await;
         drop(close);
-        let grace = self.node.settings().grace.since(STOP_MARGIN);
         let left = stopped_at.plus(grace).since(self.node.now()).duration();
         let late = async {
             smol::Timer::after(left).await;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -4,8 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 use slog::Logger;
 
@@ -34,6 +32,16 @@
     inner: Arc<Inner>,
 }
 
+common! { key
+/// Times of a planned stop.
+pub struct Stop {
+    /// When no further connections are accepted.
+    pub closes_at: Millis,
+    /// When each request must have its answer, as the process ends.
+    pub ends_at: Millis,
+}
+}
+
 struct Inner {
     role: Role,
     settings: Mutex<Arc<Settings>>,
@@ -44,7 +52,7 @@
     packer: Mutex<Packer>,
     peers: Mutex<Peers>,
     hook: OnceLock<Hook>,
-    stopping: AtomicBool,
+    stop: OnceLock<Stop>,
 }
 
 impl Node {
@@ -62,7 +70,7 @@
                 packer: Mutex::default(),
                 peers: Mutex::default(),
                 hook: OnceLock::new(),
-                stopping: AtomicBool::new(false),
+                stop: OnceLock::new(),
             }),
         }
     }
@@ -186,12 +194,18 @@
     }
 
     /// Marks the process as stopping.
-    pub fn stop(&self) {
-        self.inner.stopping.store(true, Ordering::Relaxed);
+    pub fn stop(&self, stop: Stop) {
+        // A second signal changes nothing.
+        let _ = self.inner.stop.set(stop);
+    }
+
+    /// Returns the times of the stop; none before the process has been told to.
+    pub fn stop_times(&self) -> Option<&Stop> {
+        self.inner.stop.get()
     }
 
     /// Returns true once the process has been told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.inner.stopping.load(Ordering::Relaxed)
+        self.stop_times().is_some()
     }
 }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -195,7 +195,7 @@
         let mut silence = Silence {
             last_read: self.entry.node.now(),
             last_search: None,
-            deadline: self.inbound.deadline,
+            deadline: self.entry.answer_by(&self.inbound),
         };
         loop {
             let can_move = self.inbound.route.repeat == Repeat::Resume
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -254,7 +254,7 @@
             error
         }
     };
-    if now.plus(MIN_TIME_LEFT) >= inbound.deadline {
+    if now.plus(MIN_TIME_LEFT) >= entry.answer_by(inbound) {
         return Err(mark_run(Error::new(
             Code::DeadlineExceeded,
             "no time is left",
@@ -354,7 +354,7 @@
     if attempts.sends == 1 {
         entry.count_placed(inbound);
     }
-    let left = inbound.deadline.since(now).0 as f64;
+    let left = entry.answer_by(inbound).since(now).0 as f64;
     let least = if inbound.route.stream {
         OVERDUE_STREAM_MS
     } else {
@@ -439,6 +439,8 @@
         if left == Some(Millis(0)) {
             break "its version expires";
         }
+        // The process may be told to stop meanwhile.
+        let end = end.min(entry.answer_by(inbound));
         if now >= end {
             break "no answer";
         }
@@ -465,7 +467,7 @@
     let dispatch = Dispatch {
         instance: held.registration.id.clone(),
         organisation: inbound.organisation.as_ref().map(|o| o.name.clone()),
-        time_left: inbound.deadline.since(now),
+        time_left: entry.answer_by(inbound).since(now),
         urgency: urgency(inbound),
         last_event: resume_after,
     };
