store: List the keys when the changes do not fit in an answer

Cause: the answer to a waiting read holds every write since the last one, also those that later ones have replaced. Beyond the largest answer the read failed, the next one asked for the same changes, and so on until the store dropped its history.

Change: changes of more than 3 MiB are not read; the keys are listed instead, which hold each document once. The stated length tells it before the body is read. Values of 1 MiB still fit.

changes_beyond_an_answer_are_listed: 40 configurations of 2,300 routes while the entry stands still.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -315,7 +315,10 @@
         let steady = SteadyBody::new(incoming, patience.stall, on_data);
         let bytes = body::read(steady, limit)
             .await
-            .map_err(|error| Error::new(code, error.detail))?;
+            .map_err(|error| match error.code {
+                Code::BodyTooLarge => error,
+                _ => Error::new(code, error.detail),
+            })?;
         client.give_back(kept);
         Ok(Response::from_parts(head, bytes))
     };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -40,6 +40,10 @@
 /// JSON lengthen.
 const MAX_ANSWER: usize = 8 << 20;
 
+/// Largest answer with changes, in bytes. It holds each write of a document, also those that
+/// later ones have replaced, so beyond it a listing is smaller; the largest value fits.
+const MAX_CHANGES: usize = 3 << 20;
+
 /// Maximum number of pages of one listing, so that a store which always announces
 /// another page does not keep the reader for ever.
 const MAX_PAGES: usize = 1_000;
@@ -113,7 +117,7 @@
         let mut after = String::new();
         for _ in 0..MAX_PAGES {
             let path = format!("/api/kv-range?prefix={prefix}&after={after}");
-            let answer = self.get(&path, CALL_TIMEOUT).await?;
+            let answer = self.get(&path, CALL_TIMEOUT, MAX_ANSWER).await?;
             let page: PageDoc = decode(&answer)?;
             let page_era = read_era(&answer).unwrap_or(era);
             if *first_era.get_or_insert(page_era) != page_era {
@@ -144,13 +148,17 @@
     /// times in `call`. The changes may be of another era, whose revisions have nothing to do
     /// with those of `after`.
     ///
-    /// Returns `None` when the store no longer keeps the changes since that
-    /// revision; the caller must list all keys then.
+    /// Returns `None` when the store no longer keeps the changes since that revision, or has
+    /// more of them than an answer may hold; the caller must list all keys then.
     pub async fn watch(&self, prefix: &str, after: Position, call: Call) -> Result<Option<Delta>> {
         let wait_ms = call.wait.0;
         let revision = after.revision;
         let path = format!("/api/kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
-        let answer = self.get(&path, call.timeout.duration()).await?;
+        let answer = self.get(&path, call.timeout.duration(), MAX_CHANGES).await;
+        let answer = match answer {
+            Err(error) if error.code == Code::BodyTooLarge => return Ok(None),
+            answer => answer?,
+        };
         if answer.status() == StatusCode::GONE {
             return Ok(None);
         }
@@ -164,8 +172,9 @@
         }))
     }
 
-    /// Sends a call and reads the answer, which must begin within `head`.
-    async fn get(&self, path: &str, head: Duration) -> Result<Response<Bytes>> {
+    /// Sends a call and reads the answer, which must begin within `head` and have at most
+    /// `limit` bytes.
+    async fn get(&self, path: &str, head: Duration, limit: usize) -> Result<Response<Bytes>> {
         let request = Request::get(path)
             .header("host", self.client.addr().to_string())
             .body(body::full(""))
@@ -177,14 +186,10 @@
         };
         let on_data = self.on_data.clone();
         let code = Code::PlatformUnavailable;
-        let call = client::exchange_steadily(
-            &self.client,
-            request,
-            MAX_ANSWER,
-            patience,
-            code,
-            move || on_data(),
-        );
+        let call =
+            client::exchange_steadily(&self.client, request, limit, patience, code, move || {
+                on_data()
+            });
         call.await
     }
 }
--- a/tests/large_config.rs
+++ b/tests/large_config.rs
@@ -46,3 +46,22 @@
     let changes = send(entry.internal, text).expect("the changes");
     assert!(changes.body.len() <= MOST, "{} bytes", changes.body.len());
 }
+
+/// Guards against a reader that asks again and again for more changes than an answer may hold,
+/// and uses the old configuration until the store drops its history.
+#[test]
+fn changes_beyond_an_answer_are_listed() {
+    let ip = Ipv4Addr::new(127, 0, 0, 103);
+    let (store, addr) = Store::start(ip);
+    store.keep_history();
+    store.put("op/config", &large_config(1, ROUTES, 5_000));
+    let entry = Entry::start(ip, addr);
+    entry.until_ready();
+    // The entry stands still while the changes are made.
+    entry.signal("-STOP");
+    for version in 2..=40 {
+        store.put("op/config", &large_config(version, ROUTES, 5_000));
+    }
+    entry.signal("-CONT");
+    until(|| entry.version() == 40);
+}
--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -136,6 +136,9 @@
     /// Bytes of an answer that are sent at once, each a tenth of a second after the last; 0
     /// for all.
     pace: Arc<AtomicUsize>,
+    /// All writes but removals, in their order.
+    writes: Arc<Mutex<Vec<(String, String, u64)>>>,
+    has_history: Arc<AtomicBool>,
     /// Times that the store has been restored from a copy.
     era: Arc<AtomicU64>,
 }
@@ -208,7 +211,14 @@
         let mut docs = self.docs.lock().unwrap();
         let revision = docs.iter().map(|d| d.2).max().unwrap_or(0) + 1;
         docs.retain(|d| d.0 != key);
-        docs.push((key.to_string(), value.to_string(), revision));
+        let doc = (key.to_string(), value.to_string(), revision);
+        self.writes.lock().unwrap().push(doc.clone());
+        docs.push(doc);
+    }
+
+    /// Tells watches of each write from now on, also of those that later ones have replaced.
+    pub fn keep_history(&self) {
+        self.has_history.store(true, Ordering::Relaxed);
     }
 
     /// Removes a key with the next revision.
@@ -223,8 +233,11 @@
     fn after(&self, revision: u64) -> (Vec<serde_json::Value>, u64) {
         let docs = self.docs.lock().unwrap();
         let at = docs.iter().map(|d| d.2).max().unwrap_or(1);
+        let writes = self.writes.lock().unwrap();
+        let is_watch = revision > 0 && self.has_history.load(Ordering::Relaxed);
+        let listed = if is_watch { &writes } else { &docs };
         // The whole content does not name removed keys, which have no value here.
-        let newer = docs
+        let newer = listed
             .iter()
             .filter(|d| d.2 > revision && (revision > 0 || !d.1.is_empty()));
         let items = newer.map(|(key, value, rev)| match value.is_empty() {
