--- a/src/direct/crash_guard.rs
+++ b/src/direct/crash_guard.rs
@@ -171,8 +171,8 @@
         }
         // One request is the cause. Where the upstream had just begun one of them, it is that
         // one; else it may be one that was being answered or waited.
-        let is_begun = |l: &&Lost| l.progress == Progress::Head;
-        let has_begun = lost.iter().any(|l| is_begun(&l));
+        let is_begun = |l: &Lost| l.progress == Progress::Head;
+        let has_begun = lost.iter().any(is_begun);
         let suspects = || lost.iter().filter(|l| !has_begun || is_begun(l));
         let log = self.node.log();
         self.node.metrics().count(Metric::CrashCounted, 1);
--- a/src/gate/crash_table.rs
+++ b/src/gate/crash_table.rs
@@ -140,7 +140,7 @@
 pub struct Crash {
     /// Hash of the upstream's id.
     pub upstream: u64,
-    /// When it was noticed.
+    /// When the request was lost.
     pub at: Millis,
     /// How far the upstream had come with the request.
     pub progress: Progress,
@@ -357,13 +357,16 @@
 
     /// Drops the crash without which the most points remain, the earliest of these.
     fn drop_least(&mut self) {
-        let mut best = (0, 0);
-        for index in (0..self.crashes.len()).rev() {
-            let dropped = self.crashes.remove(index);
-            best = best.max((self.points(), usize::MAX - index));
-            self.crashes.insert(index, dropped);
+        let points_without = |index: &usize| {
+            let mut rest = self.clone();
+            rest.crashes.remove(*index);
+            rest.points()
+        };
+        // Of equal ones, the last of the reversed order is the earliest crash.
+        let least = (0..self.crashes.len()).rev().max_by_key(points_without);
+        if let Some(index) = least {
+            self.crashes.remove(index);
         }
-        self.crashes.remove(usize::MAX - best.1);
     }
 
     fn add_answers(&mut self, answers: &LastAnswers) {
