route: Split the placement by decision

Cause: route/placement.rs had 1,147 lines with the state of an upstream, the prediction, the rule of admission and the choice in one file; the parts that are built next change different ones of these. Change: route/target has the state, route/predict the time to the first event, route/admit the rule, route/profile the request; recovery has the outcome that it counts. No line of a decision changes.

--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -9,7 +9,7 @@
 use crate::direct::wire::SuspectDoc;
 use crate::member::peers::Role;
 use crate::prelude::*;
-use crate::route::placement::RunnerStatus;
+use crate::route::target::RunnerStatus;
 use crate::util::lock;
 
 /// Adds the state of the entry to a datagram. Loads and refusals are only for
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -17,7 +17,7 @@
 use crate::prelude::*;
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
-use crate::route::placement::RequestProfile;
+use crate::route::profile::RequestProfile;
 use crate::table::routing::Organisation;
 use crate::table::routing::Route;
 use crate::table::routing::Routing;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -20,10 +20,10 @@
 use crate::net::body::BoxBody;
 use crate::net::body::BoxError;
 use crate::prelude::*;
-use crate::route::placement::Outcome;
-use crate::route::placement::Target;
+use crate::route::recovery::Outcome;
 use crate::route::silence::Silence;
 use crate::route::silence::Step;
+use crate::route::target::Target;
 use crate::table::routing::Repeat;
 
 /// Time for which an upstream may send bytes without completing a new event
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -30,8 +30,8 @@
 use crate::platform::headers::Dispatch;
 use crate::prelude::*;
 use crate::route::placement::Choice;
-use crate::route::placement::Outcome;
-use crate::route::placement::Target;
+use crate::route::recovery::Outcome;
+use crate::route::target::Target;
 use crate::table::routing::Repeat;
 
 /// Least time until the deadline with which a request is still sent.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -5,6 +5,7 @@
 //! used by entries that send requests straight to upstreams.
 
 pub mod action;
+pub mod admit;
 pub mod affinity;
 pub mod choose;
 pub mod cost;
@@ -13,6 +14,8 @@
 pub mod hedge;
 pub mod notice;
 pub mod placement;
+pub mod predict;
+pub mod profile;
 pub mod rate_share;
 pub mod recovery;
 pub mod reorder;
@@ -22,6 +25,7 @@
 pub mod size_fairness;
 pub mod spread;
 pub mod subset;
+pub mod target;
 pub mod upstream;
 
 pub use choose::Chooser;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -11,56 +11,33 @@
 
 use fastrand::Rng;
 
-use crate::member::registry;
 use crate::member::registry::Registration;
 use crate::prelude::*;
 use crate::rollout::versions::Versions;
+use crate::route::admit;
 use crate::route::engine::Engine;
-use crate::route::engine::Size;
 use crate::route::notice::Notice;
 use crate::route::notice::Notices;
 use crate::route::notice::StartId;
+use crate::route::profile::RequestProfile;
 use crate::route::rate_share;
 use crate::route::rate_share::RateLimit;
 use crate::route::rate_share::Statement;
+use crate::route::recovery::Outcome;
 use crate::route::recovery::Recovery;
 use crate::route::spread;
 use crate::route::spread::Candidate;
+use crate::route::target::Load;
+use crate::route::target::PACE_RANGE;
+use crate::route::target::RunnerStatus;
+use crate::route::target::Target;
 use crate::table::routing::Routing;
 use crate::util;
 
-/// Age at which another entry's report of its calls is ignored.
-const LOAD_EXPIRY: Millis = Millis(1_000);
-
 /// Own sends remembered for one upstream. This is more than an upstream accepts
 /// within [`STATUS_EXPIRY`].
 const MAX_RECENT_SENDS: usize = 64;
 
-/// Age at which an agent's status report is ignored and the registry is used instead.
-const STATUS_EXPIRY: Millis = Millis(1_500);
-
-/// Age at which a reported pace is ignored. Other workloads on the same host
-/// change it many times a second.
-const PACE_EXPIRY: Millis = Millis(700);
-
-/// Time for which an upstream that answered "misdirected" gets no requests, unless
-/// a newer report on what it holds arrives. After a restart under the same id, the
-/// registry still lists what the upstream held before the restart.
-const MISDIRECTED_EXPIRY: Millis = Millis(3_000);
-
-/// Range to which a reported or observed pace is clamped; 1 is the usual pace.
-const PACE_RANGE: (f64, f64) = (0.5, 12.0);
-
-/// Half-life of an observed slowness, in milliseconds.
-const SLOWNESS_HALF_LIFE_MS: f64 = 1_500.0;
-
-/// Weight of the newest observation in the moving average of the slowness.
-const SLOWNESS_WEIGHT: f64 = 0.3;
-
-/// Penalty for an upstream in another zone, in milliseconds. Traffic between
-/// zones is expensive, and links between regions have little bandwidth.
-const REMOTE_PENALTY_MS: f64 = 35.0;
-
 /// Assumed service time of a plain service (a pool without engine figures)
 /// before any answer was observed, in milliseconds.
 const INITIAL_PLAIN_MS: f64 = 30.0;
@@ -68,49 +45,6 @@
 /// Weight of the newest observation in the average service time of a plain service.
 const PLAIN_WEIGHT: f64 = 0.05;
 
-/// Share of a stream's longest allowed pause that the reading of new prompts may take.
-const PAUSE_SHARE: f64 = 0.8;
-
-/// Share of the slots of comparable upstreams that must be free before a request
-/// that will be late is sent.
-const MIN_POOL_FREE_SHARE: f64 = 0.2;
-
-/// Share of an upstream's own slots that must be free before it gets such a request.
-const MIN_FREE_SHARE: f64 = 0.1;
-
-/// Upstreams whose prediction is within this ratio of the best are comparable.
-/// The others are slow, and their free slots do not show spare capacity.
-const COMPARABLE_RATIO: f64 = 2.0;
-
-/// Share of the time left until the objective that a prediction may take. The
-/// rest is a margin, since the pace may change after the prediction.
-const OBJECTIVE_SHARE: f64 = 0.92;
-
-/// Share of the time left until the objective that a request may wait, not
-/// counting the reading of its own prompt. At 1.5 times the capacity, `bench place`
-/// serves the largest tenth of the requests 0.55 times as often as all requests
-/// with this bound, and 0.34 times as often without it.
-const WAIT_SHARE: f64 = 0.55;
-
-/// The same share while large requests are preferred. It leaves time for prompts
-/// of four times the usual length.
-const FAIR_WAIT_SHARE: f64 = 0.40;
-
-/// Range of the factor by which the value density of a request scales its
-/// allowed wait.
-const DENSITY_RANGE: (f64, f64) = (0.75, 1.05);
-
-/// Factors that scale the allowed wait of the smallest and of the large requests
-/// while large requests are preferred.
-const SIZE_FACTOR_RANGE: (f64, f64) = (0.90, 1.20);
-
-/// Weight of the time by which a request would delay a planned load of its runner.
-const OVERRUN_WEIGHT: f64 = 0.15;
-
-/// Largest penalty for delaying a planned load, in milliseconds. It makes other
-/// runners preferable, but does not exclude a runner that still accepts work.
-const MAX_OVERRUN_MS: f64 = 150.0;
-
 /// Multiple of the predicted time within which a request is expected to begin, even
 /// if the pace of the runner changes after the prediction.
 const BEGIN_FACTOR: f64 = 2.0;
@@ -118,42 +52,9 @@
 /// Time to reach a runner before its version expires, in milliseconds.
 const BEGIN_MARGIN_MS: f64 = 400.0;
 
-/// Time that the prediction does not cover, in milliseconds: parsing, network
-/// links and scheduling delays.
-const OVERHEAD_MS: f64 = 12.0;
-
 /// Time for which other entries are told of a limit after an answer has named or ended it.
 const LIMIT_TELL_TIME: Millis = Millis(10_000);
 
-common! { value
-/// What the placement needs to know about a request.
-pub struct RequestProfile {
-    /// Name of the pool that serves it.
-    pub pool: String,
-    /// Model that it names; none for plain services.
-    pub model: Option<String>,
-    /// Oldest version of the model that may run it.
-    pub min_version: u64,
-    /// Length of its prompt and expected answer; zero for plain services.
-    pub size: Size,
-    /// Time left until its objective, in milliseconds; none when it is late already.
-    pub slack_ms: Option<f64>,
-    /// Longest pause between two events that its route allows, in milliseconds.
-    pub max_pause: Option<f64>,
-    /// Time left until its caller gives up, in milliseconds.
-    pub time_left: f64,
-    /// Time that an engine takes to read its prompt, in milliseconds.
-    pub read_ms: f64,
-    /// Value of the request for the engine time that it takes, relative to the
-    /// usual request; see [`Engine::value_density`].
-    pub value_density: f64,
-    /// Its weight, relative to the smallest weight that counts as large on its route.
-    pub relative_size: f64,
-    /// How strongly large requests of its route are preferred, from 0 to 1.
-    pub large_preference: f64,
-}
-}
-
 /// Result of a placement.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -175,88 +76,6 @@
     NoUpstream,
 }
 
-common! { value
-/// State of a runner as its agent reports it.
-pub struct RunnerStatus {
-    /// Versions of models that it holds.
-    pub holdings: Vec<registry::Holding>,
-    /// True while it loads a version and accepts no work.
-    pub loading: bool,
-    /// Requests that run or wait in its queue.
-    pub calls: u32,
-    /// Time that its work takes, relative to the usual time; 2 is half as fast.
-    pub pace: f64,
-    /// When the state was measured.
-    pub measured_at: Millis,
-    /// When the runner is going to load another version, if that is planned.
-    pub reload_at: Option<Millis>,
-}
-}
-
-/// Load of one upstream, from one or several sources.
-#[derive(Clone, Copy, Debug, Default)]
-struct Load {
-    /// Calls in progress.
-    calls: u32,
-    /// Time for reading the prompts of calls that have not begun, in milliseconds.
-    unread_ms: f64,
-}
-
-/// One upstream as this entry sees it.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// Its registration in the registry.
-    pub registration: Registration,
-    /// Hash of its id, by which entries name it to each other.
-    id_hash: u64,
-    /// Cost figures of its pool's engines; none for a plain service.
-    engine: Option<Arc<Engine>>,
-    /// One-way network delay to it, in milliseconds.
-    delay_ms: f64,
-    /// True when it is in another zone than this entry.
-    remote: bool,
-    /// True when the registry lists it as draining, or no longer lists it.
-    leaving: bool,
-    /// What its answers said about itself.
-    notice: Notice,
-    /// Calls of this entry there.
-    own_load: Load,
-    /// Loads of the other entries of the zone by name, and when they were reported.
-    peer_loads: IndexMap<String, (Millis, Load)>,
-    /// When this entry sent its latest requests there.
-    recent_sends: VecDeque<Millis>,
-    /// Latest status report of its agent.
-    status: Option<RunnerStatus>,
-    /// Latest reported pace, and when it was measured.
-    pace: (f64, Millis),
-    /// Observed slowness beyond the reported pace, and when it was updated.
-    slowness: (f64, Millis),
-    recovery: Recovery,
-    /// When it last answered that the request was meant for another upstream.
-    misdirected_at: Option<Millis>,
-    /// Requests a second that it takes from all entries.
-    rate_limit: RateLimit,
-}
-
-common! { key
-/// How a call ended.
-pub enum Outcome {
-    /// The whole answer arrived.
-    Done,
-    /// The upstream refused the call because it had no free slot.
-    Busy,
-    /// The upstream failed or did not answer.
-    Failed,
-    /// The connection was refused.
-    Refused,
-    /// The process at this address is another upstream, or it does not hold the
-    /// version that the request needs.
-    Misdirected,
-    /// The caller left, or the call was abandoned for another reason.
-    Dropped,
-}
-}
-
 /// One call in progress.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -664,11 +483,11 @@
         }
         self.add_unseen(now, profile, work_ms, &mut found);
         let best = least_predicted(&found);
-        if !is_timely(profile, best) {
+        if !admit::is_timely(profile, best) {
             // A late answer may only use a slot that would stay empty. Free slots
             // of slow upstreams do not show that the pool has spare capacity.
-            found.retain(|c| c.first_ms <= COMPARABLE_RATIO * best);
-            let has_capacity = self.free_share(now, &found) >= MIN_POOL_FREE_SHARE;
+            found.retain(|c| c.first_ms <= admit::COMPARABLE_RATIO * best);
+            let has_capacity = self.free_share(now, &found) >= admit::MIN_POOL_FREE_SHARE;
             found.retain(|c| {
                 let target = self.targets.get(c.target);
                 let has_spare_slots = target.is_some_and(|t| t.has_spare_slots(now));
@@ -839,31 +658,6 @@
     firsts.fold(f64::INFINITY, f64::min)
 }
 
-/// Returns true when the best prediction is good enough to use a slot.
-///
-/// A request that can be on time may wait for a slot. The wait allowed is shorter
-/// the less the request is worth for the engine time that it takes. It does not
-/// include the reading of the request's own prompt: if the whole time were
-/// bounded, small requests would fill the queues up to a length at which no large
-/// request can be on time. While too few large requests of a route are admitted,
-/// the bound leaves time for the prompts of large requests, and is longest for
-/// these.
-fn is_timely(profile: &RequestProfile, best: f64) -> bool {
-    let Some(slack) = profile.slack_ms else {
-        return false;
-    };
-    let density_bound = WAIT_SHARE
-        * slack
-        * profile
-            .value_density
-            .clamp(DENSITY_RANGE.0, DENSITY_RANGE.1);
-    let factor = SIZE_FACTOR_RANGE.0
-        + (SIZE_FACTOR_RANGE.1 - SIZE_FACTOR_RANGE.0) * profile.relative_size.min(1.0);
-    let fair_bound = FAIR_WAIT_SHARE * slack * factor;
-    let bound = density_bound + profile.large_preference * (fair_bound - density_bound);
-    best <= OBJECTIVE_SHARE * slack && best - profile.read_ms <= bound
-}
-
 /// Returns true when both pools have the engine of the same configuration, or none.
 fn has_same_engine(one: Option<&Arc<Engine>>, other: Option<&Arc<Engine>>) -> bool {
     match (one, other) {
@@ -884,264 +678,3 @@
     let mut listed = listed.filter(|(a, b, _)| (a == from && b == to) || (a == to && b == from));
     listed.next().map_or(UNKNOWN, |(_, _, delay_ms)| *delay_ms)
 }
-
-impl Target {
-    /// Returns true when it may get requests now.
-    pub fn is_open(&self, now: Millis) -> bool {
-        !self.is_leaving() && !self.is_avoided(now)
-    }
-
-    /// Returns true while it cools down after failures or asked for no requests.
-    fn is_avoided(&self, now: Millis) -> bool {
-        self.notice.back_off_left(now) > Millis(0)
-            || !self.recovery.admits(now, self.own_load.calls)
-    }
-
-    /// Describes the values that a prediction is made from, for the log.
-    pub fn describe(&self, now: Millis) -> String {
-        let load = self.load(now);
-        let known = self.status(now).map_or(0, |s| s.calls);
-        format!(
-            "{} calls {} own {} reported {known} unread {:.0} pace {:.2} slowness {:.2}",
-            self.registration.id,
-            load.calls,
-            self.own_load.calls,
-            load.unread_ms,
-            self.pace(now),
-            self.slowness(now)
-        )
-    }
-
-    /// Returns the state that is shown to operators.
-    pub fn dump(&self, now: Millis) -> serde_json::Value {
-        let load = self.load(now);
-        serde_json::json!({
-            "id": self.registration.id,
-            "pool": self.registration.pool,
-            "zone": self.registration.zone,
-            "leaving": self.is_leaving(),
-            "own": self.own_load.calls,
-            "calls": load.calls,
-            "unread_ms": load.unread_ms,
-            "pace": self.pace(now),
-            "resting": self.is_avoided(now),
-            "rate_limit": self.rate_limit.rate(),
-            "status": self.status(now).map(|s| serde_json::json!({
-                "busy": s.loading, "calls": s.calls, "age_ms": now.since(s.measured_at).0,
-            })),
-        })
-    }
-
-    /// Returns true while it limits the requests of all entries together.
-    fn is_limited(&self) -> bool {
-        self.rate_limit.rate().is_some()
-    }
-
-    /// Returns true when the registry or its own answers say that it is leaving.
-    fn is_leaving(&self) -> bool {
-        self.leaving || self.notice.leaving
-    }
-
-    /// Returns true when it is able to serve the request, whatever its load.
-    fn serves(&self, now: Millis, profile: &RequestProfile) -> bool {
-        if self.registration.pool != profile.pool || self.is_leaving() {
-            return false;
-        }
-        let Some(engine) = &self.engine else {
-            return !self.is_misdirected(now);
-        };
-        let status = self.status(now);
-        if status.is_some_and(|s| s.loading) || self.is_misdirected(now) {
-            return false;
-        }
-        let Some(model) = &profile.model else {
-            return true;
-        };
-        let holdings = status.map_or(&self.registration.holdings, |s| &s.holdings);
-        let held = registry::complete_version(holdings, model, engine.layers);
-        held.is_some_and(|version| version >= profile.min_version)
-    }
-
-    /// Returns true when it lately answered "misdirected" and no newer status
-    /// report has arrived.
-    fn is_misdirected(&self, now: Millis) -> bool {
-        let Some(at) = self.misdirected_at else {
-            return false;
-        };
-        let is_newer = self.status(now).is_some_and(|s| s.measured_at > at);
-        !is_newer && now.since(at) < MISDIRECTED_EXPIRY
-    }
-
-    /// Returns true for a runner of another zone whose agent does not report to this
-    /// entry: how many calls it has is not known.
-    fn is_unreported(&self, now: Millis) -> bool {
-        self.remote && self.engine.is_some() && self.status(now).is_none()
-    }
-
-    /// Returns the latest status report, unless it is too old.
-    fn status(&self, now: Millis) -> Option<&RunnerStatus> {
-        let status = self.status.as_ref()?;
-        (now.since(status.measured_at) < STATUS_EXPIRY).then_some(status)
-    }
-
-    /// Returns the version of `model` that it answers from.
-    pub fn version(&self, now: Millis, model: &str) -> Option<u64> {
-        let holdings = self
-            .status(now)
-            .map_or(&self.registration.holdings, |s| &s.holdings);
-        let layers = self.engine.as_ref().map_or(0, |e| e.layers);
-        registry::complete_version(holdings, model, layers)
-    }
-
-    /// Returns the load as the entries of the zone report it. The calls are at
-    /// least those that its agent reported plus those sent since, because entries
-    /// of other zones do not report their calls here.
-    fn load(&self, now: Millis) -> Load {
-        let zone_load = self.zone_load(now);
-        let Some(status) = self.status(now) else {
-            return zone_load;
-        };
-        let sent = self
-            .recent_sends
-            .iter()
-            .rev()
-            .take_while(|at| **at > status.measured_at);
-        Load {
-            calls: zone_load.calls.max(status.calls + sent.count() as u32),
-            ..zone_load
-        }
-    }
-
-    /// Returns the sum of the loads from this entry and the other entries of its zone.
-    fn zone_load(&self, now: Millis) -> Load {
-        let fresh = self
-            .peer_loads
-            .values()
-            .filter(|(at, _)| now.since(*at) < LOAD_EXPIRY);
-        fresh.fold(self.own_load, |sum, (_, load)| Load {
-            calls: sum.calls + load.calls,
-            unread_ms: sum.unread_ms + load.unread_ms,
-        })
-    }
-
-    /// Returns the number of calls of other entries that are expected to have ended
-    /// since they were reported. `work_ms` is the average service time, used for plain
-    /// services.
-    fn unseen_ends(&self, now: Millis, work_ms: f64) -> f64 {
-        let engine_ms = self.engine.as_ref().map(|e| e.service_time());
-        let service_ms = engine_ms.unwrap_or(work_ms).max(1.0);
-        let fresh = self
-            .peer_loads
-            .values()
-            .map(|(at, load)| (now.since(*at), load))
-            .filter(|(age, _)| *age < LOAD_EXPIRY);
-        let ends = fresh.map(|(age, load)| {
-            let share = (age.0 as f64 / service_ms).min(1.0);
-            f64::from(load.calls) * share
-        });
-        ends.sum()
-    }
-
-    /// Returns the number of free slots; negative when requests wait.
-    fn free_slots(&self, now: Millis) -> f64 {
-        f64::from(self.registration.slots) - f64::from(self.load(now).calls)
-    }
-
-    /// Returns true when enough slots are free for a request that will be late.
-    fn has_spare_slots(&self, now: Millis) -> bool {
-        let slots = f64::from(self.registration.slots);
-        self.free_slots(now) >= (MIN_FREE_SHARE * slots).max(1.0)
-    }
-
-    /// Returns the factor by which its work takes longer than usual.
-    fn pace(&self, now: Millis) -> f64 {
-        let reported = if now.since(self.pace.1) < PACE_EXPIRY {
-            self.pace.0
-        } else {
-            1.0
-        };
-        reported * self.slowness(now)
-    }
-
-    /// Returns the observed slowness beyond the reported pace. It decays towards 1
-    /// while nothing is observed.
-    fn slowness(&self, now: Millis) -> f64 {
-        let (value, at) = self.slowness;
-        let age = now.since(at).0 as f64;
-        1.0 + (value - 1.0) * 0.5_f64.powf(age / SLOWNESS_HALF_LIFE_MS)
-    }
-
-    /// Updates the slowness from the time to a first event and its prediction.
-    fn update_slowness(&mut self, now: Millis, took: f64, predicted_ms: f64) {
-        let current = self.slowness(now);
-        // Very short answer times vary too much to be compared.
-        let ratio = (current * took / predicted_ms.max(20.0)).clamp(1.0, PACE_RANGE.1);
-        self.slowness = (current + SLOWNESS_WEIGHT * (ratio - current), now);
-    }
-
-    /// Returns the penalty for a request that would delay a planned load, in
-    /// milliseconds.
-    ///
-    /// A runner loads a version only after its last request has ended. A request
-    /// that runs past the planned time leaves all other slots idle until it ends.
-    fn overrun_penalty(
-        &self,
-        now: Millis,
-        engine: &Engine,
-        profile: &RequestProfile,
-        pass_ms: f64,
-    ) -> f64 {
-        let Some(reload_at) = self.status(now).and_then(|s| s.reload_at) else {
-            return 0.0;
-        };
-        let span = profile.size.output / engine.stride * pass_ms;
-        let over = span - reload_at.since(now).0 as f64;
-        (OVERRUN_WEIGHT * over).clamp(0.0, MAX_OVERRUN_MS)
-    }
-
-    /// Predicts the time to the first event of one more request, in milliseconds.
-    ///
-    /// `work_ms` is the average service time, used for plain services; `unseen` is the
-    /// number of requests of the usual size that it is expected to have got from other
-    /// entries since they reported.
-    fn predict_first(
-        &self,
-        now: Millis,
-        profile: &RequestProfile,
-        work_ms: f64,
-        unseen: f64,
-    ) -> f64 {
-        let zone_ms = 2.0 * self.delay_ms + if self.remote { REMOTE_PENALTY_MS } else { 0.0 };
-        let load = self.load(now);
-        let slots = f64::from(self.registration.slots.max(1));
-        let calls = f64::from(load.calls) + unseen;
-        let Some(engine) = &self.engine else {
-            let turns = ((calls + 1.0) / slots).max(1.0);
-            return work_ms * turns * self.pace(now) + zone_ms;
-        };
-        let prompt_ms = engine.read_ms(profile.size.prompt);
-        let unread_ms = load.unread_ms + unseen * engine.read_ms(engine.usual.prompt);
-        let batch = (calls + 1.0).min(slots);
-        let pass_ms = engine.pass_time(batch);
-        // A request arrives in the middle of a pass on average, and waits for the
-        // end of that pass.
-        let mut first_ms = 0.5 * pass_ms + prompt_ms + pass_ms;
-        if calls + 1.0 > slots {
-            first_ms += (calls + 1.0 - slots) * engine.completion_interval();
-        } else {
-            first_ms += unread_ms;
-            let pause = (pass_ms + unread_ms + prompt_ms) * self.pace(now);
-            if profile
-                .max_pause
-                .is_some_and(|most| pause > PAUSE_SHARE * most)
-            {
-                // The running streams would pause for too long.
-                first_ms += pause;
-            }
-        }
-        first_ms * self.pace(now)
-            + zone_ms
-            + OVERHEAD_MS
-            + self.overrun_penalty(now, engine, profile, pass_ms)
-    }
-}
--- a/src/route/recovery.rs
+++ b/src/route/recovery.rs
@@ -5,7 +5,6 @@
 //! So only the outcomes of requests are used here.
 
 use crate::prelude::*;
-use crate::route::placement::Outcome;
 
 /// First cooldown after failures.
 const COOLDOWN: Millis = Millis(400);
@@ -23,6 +22,25 @@
 /// process listens there.
 const REFUSED_WEIGHT: f64 = 2.0;
 
+common! { key
+/// How a call ended.
+pub enum Outcome {
+    /// The whole answer arrived.
+    Done,
+    /// The upstream refused the call because it had no free slot.
+    Busy,
+    /// The upstream failed or did not answer.
+    Failed,
+    /// The connection was refused.
+    Refused,
+    /// The process at this address is another upstream, or it does not hold the
+    /// version that the request needs.
+    Misdirected,
+    /// The caller left, or the call was abandoned for another reason.
+    Dropped,
+}
+}
+
 /// Recent failures and cooldowns of one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Recovery {
--- a/tests/place_version.rs
+++ b/tests/place_version.rs
@@ -13,7 +13,7 @@
 use chervilquay::route::engine::Size;
 use chervilquay::route::placement::Choice;
 use chervilquay::route::placement::Placer;
-use chervilquay::route::placement::RequestProfile;
+use chervilquay::route::profile::RequestProfile;
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
 use chervilquay::table::routing::Routing;
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -3,7 +3,7 @@
 use chervilquay::member::registry::Registration;
 use chervilquay::route::engine::Size;
 use chervilquay::route::placement::Placer;
-use chervilquay::route::placement::RequestProfile;
+use chervilquay::route::profile::RequestProfile;
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
 use chervilquay::table::routing::Routing;
