route: Keep requests in their regions and out of evacuated zones

Cause: a route or an organisation could not name regions, and the upstreams of a zone got requests until each of them left the registry. Change: the configuration names allowed_regions of routes and organisations; a request carries the intersection of both. The view of the cluster decodes op/evacuate/ZONE. The placer resolves the region and the evacuation of an upstream when members, zones or evacuations change, and leaves out the others at the start of the loop over upstreams, before its last resorts. First sends, repeated sends, resumed streams and hedges are all chosen there. All entries share the limit of an upstream where restricted requests, or an evacuation, leave entries of other zones no upstream without a limit. Without allowed_regions and keys, nothing changes.

--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -29,6 +29,7 @@
 use crate::route::placement::Placer;
 use crate::route::profile::RequestProfile;
 use crate::route::recovery::Outcome;
+use crate::route::regions::Regions;
 use crate::route::size_fairness::SizeFairness;
 use crate::route::target::RunnerStatus;
 use crate::route::target::Target;
@@ -445,6 +446,7 @@
         RequestProfile {
             pool: "p".to_string(),
             model: Some("m".to_string()),
+            regions: Regions::Any,
             min_version: 0,
             size: request.arrival.estimate,
             slack_ms: (slack > 0.0).then_some(slack),
--- a/src/direct/cluster.rs
+++ b/src/direct/cluster.rs
@@ -2,6 +2,7 @@
 //! of weights, decoded from the replica of the store. No I/O and no clock.
 
 use crate::member::StoreWatch;
+use crate::member::evacuation::Evacuations;
 use crate::member::registry::Registration;
 use crate::platform::config;
 use crate::platform::registry;
@@ -35,6 +36,8 @@
     /// The registration of the upstream with this id is missing, perhaps
     /// because it expired while the store was away.
     Missing(String),
+    /// The operator evacuated this zone (true), or revoked its evacuation.
+    Evacuation(String, bool),
     /// The operator named this version of a model's weights; none if it is not the newest.
     VersionNamed(String, u64, Option<Naming>),
     /// A peer told when a version was named: it was unknown here, or dated later.
@@ -57,6 +60,8 @@
     pub watch: StoreWatch,
     /// Versions of weights that were named, with their times.
     pub versions: Versions,
+    /// Availability zones that are evacuated.
+    pub evacuations: Evacuations,
     routing: Option<Arc<Routing>>,
     /// Upstreams without a registration, with the end of their grace period.
     missing: IndexMap<String, Millis>,
@@ -257,7 +262,7 @@
     }
 
     /// Applies one changed document. A configuration that is not newer than the one
-    /// in force is ignored, and so is the removal of any but a registration.
+    /// in force is ignored, and so is the removal of any but a registration or an evacuation.
     ///
     /// When a version was named is not known at the first read (`is_start`), nor before the
     /// replica was complete; later it is derived from the reading of the store.
@@ -269,6 +274,13 @@
             changes.extend(change);
             return;
         }
+        if let Some(zone) = registry::evacuated_zone(key) {
+            let is_evacuated = doc.value.is_some();
+            if self.evacuations.set(zone, is_evacuated) {
+                changes.push(Change::Evacuation(zone.to_string(), is_evacuated));
+            }
+            return;
+        }
         let Some(value) = &doc.value else {
             return;
         };
--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -180,6 +180,12 @@
             Change::Missing(id) => {
                 info!(self.logger, "member: entry lapsed while the store was away"; "upstream" => id, "revision" => revision, "source" => source)
             }
+            Change::Evacuation(zone, true) => {
+                info!(self.logger, "member: zone is evacuated"; "zone" => zone, "revision" => revision, "source" => source)
+            }
+            Change::Evacuation(zone, false) => {
+                info!(self.logger, "member: evacuation is revoked"; "zone" => zone, "revision" => revision, "source" => source)
+            }
             Change::VersionNamed(model, version, naming) => {
                 let age = naming.as_ref().map(|n| now.since(n.at).0);
                 let dating = naming.as_ref().map(|n| format!("{:?}", n.dating));
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -183,9 +183,10 @@
     /// Creates an entry that knows no configuration or upstreams yet.
     pub fn new(node: Node) -> Arc<Entry> {
         let seed = node.started() ^ util::stable_hash([node.settings().name.as_str()]);
-        let zone = node.settings().zone.clone();
+        let mut placer = Placer::new(&node.settings().zone, seed);
+        placer.set_zones(&node.settings().zones);
         let entry = Arc::new(Entry {
-            placer: Mutex::new(Placer::new(&zone, seed)),
+            placer: Mutex::new(placer),
             retry_budgets: Mutex::default(),
             crashes: CrashGuard::new(node.clone()),
             clients: Mutex::default(),
@@ -201,6 +202,7 @@
             };
             let bound = entry.node.settings().rollout_bound;
             let mut placer = entry.placer();
+            placer.set_evacuated(&cluster.evacuations);
             placer.set_members(cluster.members.values(), routing);
             placer.set_versions(cluster.versions.clone(), bound);
         });
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -98,7 +98,8 @@
     let owner = call.credential.as_deref().unwrap_or_default();
     let fingerprint = suspect::fingerprint(owner, parts.method.as_str(), &target, &body);
     let time_lost = entry.time_lost(&fingerprint, arrived, call.time_left);
-    let profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    let mut profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    profile.regions = route.regions_for(organisation.as_deref());
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
@@ -175,6 +176,7 @@
     Ok(RequestProfile {
         pool: pool.to_string(),
         model: call.model.clone().filter(|_| engine.is_some()),
+        regions: route.regions.clone(),
         min_version: 0,
         size,
         slack_ms: (left > 0.0).then_some(left),
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -311,8 +311,8 @@
         }
         Choice::NoUpstream => {
             let detail = format!(
-                "pool {} least version {}",
-                profile.pool, profile.min_version
+                "pool {} least version {} regions {}",
+                profile.pool, profile.min_version, profile.regions
             );
             let error = Error::new(Code::NoUpstream, detail);
             Err(mark_run(error.with_retry(NO_UPSTREAM_RETRY)))
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! Membership: which processes and upstreams exist, which are leaving, and
 //! which have stopped answering.
 
+pub mod evacuation;
 pub mod failure_detector;
 pub mod incarnation;
 pub mod live;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -8,6 +8,7 @@
 use crate::route::engine::Engine;
 use crate::route::engine::Model;
 use crate::route::engine::Size;
+use crate::route::regions::Regions;
 use crate::table::routing::Limits;
 use crate::table::routing::Organisation;
 use crate::table::routing::Origin;
@@ -70,6 +71,9 @@
     /// True when a stream may go on from the last event that the caller has.
     #[serde(default)]
     resumable: bool,
+    /// Regions that may serve its requests; empty or missing for no restriction.
+    #[serde(default)]
+    allowed_regions: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -178,6 +182,9 @@
     /// Overrides the priority of the route.
     #[serde(default)]
     priority: Option<u8>,
+    /// Regions that may serve its requests, in addition to the restriction of the route.
+    #[serde(default)]
+    allowed_regions: Option<Vec<String>>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -205,6 +212,7 @@
         let organisation = Organisation {
             name: tenant.name,
             priority: tenant.priority,
+            regions: Regions::of(tenant.allowed_regions.into_iter().flatten()),
         };
         (organisation, tenant.api_keys)
     });
@@ -252,6 +260,7 @@
         public: doc.public,
         max_attempts: doc.max_attempts.unwrap_or(1),
         pools,
+        regions: Regions::of(doc.allowed_regions.into_iter().flatten()),
     })
 }
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -16,6 +16,10 @@
 /// model's weights.
 pub const WEIGHTS_PREFIX: &str = "op/version/";
 
+/// Prefix of the keys that exist while the operator has evacuated an availability zone;
+/// the name of the zone follows it.
+const EVACUATE_PREFIX: &str = "op/evacuate/";
+
 /// Registration of a runner, as the store holds it.
 #[derive(Deserialize)]
 struct EntryDoc {
@@ -132,6 +136,13 @@
     models.iter().map(holding).collect()
 }
 
+/// Returns the availability zone that is evacuated while `key` exists, whatever its value
+/// holds; none for other keys.
+pub fn evacuated_zone(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATE_PREFIX)
+        .filter(|zone| !zone.is_empty())
+}
+
 /// Decodes the newest version of a model's weights, as the operator has named it
 /// under `key`. Returns the name of the model and the version.
 pub fn decode_version(key: &str, bytes: &[u8]) -> Result<(String, u64)> {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -18,6 +18,7 @@
 pub mod profile;
 pub mod rate_share;
 pub mod recovery;
+pub mod regions;
 pub mod reorder;
 pub mod request_state;
 pub mod router;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -11,6 +11,7 @@
 
 use fastrand::Rng;
 
+use crate::member::evacuation::Evacuations;
 use crate::member::registry::Registration;
 use crate::prelude::*;
 use crate::rollout::versions::Versions;
@@ -25,6 +26,7 @@
 use crate::route::rate_share::Statement;
 use crate::route::recovery::Outcome;
 use crate::route::recovery::Recovery;
+use crate::route::regions::ZoneRegions;
 use crate::route::spread;
 use crate::route::spread::Candidate;
 use crate::route::target::Load;
@@ -93,6 +95,10 @@
 #[derive(Debug)]
 pub struct Placer {
     zone: String,
+    regions: ZoneRegions,
+    evacuations: Evacuations,
+    /// True when the configuration restricts requests to regions.
+    restricted: bool,
     targets: Arena<Target>,
     by_id: IndexMap<String, Key<Target>>,
     by_hash: IndexMap<u64, Key<Target>>,
@@ -115,6 +121,9 @@
     pub fn new(zone: &str, seed: u64) -> Placer {
         Placer {
             zone: zone.to_string(),
+            regions: ZoneRegions::default(),
+            evacuations: Evacuations::default(),
+            restricted: false,
             targets: Arena::default(),
             by_id: IndexMap::new(),
             by_hash: IndexMap::new(),
@@ -129,6 +138,25 @@
         }
     }
 
+    /// Sets the regions of the availability zones, by name of the zone.
+    pub fn set_zones(&mut self, zones: &IndexMap<String, String>) {
+        self.regions = ZoneRegions::new(zones);
+        for (_, target) in self.targets.iter_mut() {
+            target.region = self.regions.number(&target.registration.zone);
+        }
+    }
+
+    /// Sets the evacuated zones. Their upstreams get nothing new; calls go on.
+    pub fn set_evacuated(&mut self, evacuations: &Evacuations) {
+        if self.evacuations == *evacuations {
+            return;
+        }
+        self.evacuations = evacuations.clone();
+        for (_, target) in self.targets.iter_mut() {
+            target.evacuated = evacuations.contains(&target.registration.zone);
+        }
+    }
+
     /// Applies a new list of registered upstreams.
     ///
     /// What is known about upstreams that stay is kept. One that is no longer
@@ -138,6 +166,7 @@
         members: impl IntoIterator<Item = &'a Registration>,
         routing: &Routing,
     ) {
+        self.restricted = routing.is_restricted();
         let mut listed = indexmap::IndexSet::new();
         for member in members {
             listed.insert(member.id.as_str());
@@ -198,6 +227,8 @@
                 target.status = None;
             }
             target.registration = member.clone();
+            target.region = self.regions.number(&member.zone);
+            target.evacuated = self.evacuations.contains(&member.zone);
             target.delay_ms = delay_ms(engine.as_deref(), &self.zone, &member.zone);
             target.engine = engine;
             target.leaving = member.draining;
@@ -211,6 +242,8 @@
             delay_ms: delay_ms(engine.as_deref(), &self.zone, &member.zone),
             engine,
             remote: member.zone != self.zone,
+            region: self.regions.number(&member.zone),
+            evacuated: self.evacuations.contains(&member.zone),
             leaving: member.draining,
             notice: self.notices.get(StartId { id_hash, started }),
             own_load: Load::default(),
@@ -327,17 +360,21 @@
     ///
     /// The entries of the upstream's zone share the limit, since the others use upstreams of
     /// their own zones. All entries share it when that zone has none, or when its pool has no
-    /// upstream without a limit.
+    /// upstream without a limit that serves the same requests. Entries of other zones need
+    /// one in the same region for requests that are restricted to it.
     fn limit_share(&self, target: &Target) -> f64 {
         let Some(rate) = target.rate_limit.rate() else {
             return f64::INFINITY;
         };
         let zone = target.registration.zone.as_str();
         let pool = target.registration.pool.as_str();
-        let has_other = self
-            .targets
-            .iter()
-            .any(|(_, t)| t.registration.pool == pool && !t.is_limited() && !t.is_leaving());
+        let has_other = self.targets.iter().any(|(_, t)| {
+            t.registration.pool == pool
+                && !t.is_limited()
+                && !t.is_leaving()
+                && !t.evacuated
+                && (!self.restricted || t.region == target.region)
+        });
         let has_near = self.entries.values().any(|z| z == zone);
         let is_near_only = has_other && has_near;
         let users = self.entries.iter();
@@ -405,6 +442,9 @@
 
     /// Chooses an upstream that is not in `without`.
     ///
+    /// Upstreams of evacuated zones and of regions that the request may not use are never
+    /// chosen, even when no other is left. Each send of a request is chosen here.
+    ///
     /// Runners of other zones that do not report to this entry are used only when no
     /// other is left, and after them upstreams that cool down after failures. Upstreams
     /// that asked for no requests are never used, and those that named a limit only within
@@ -424,8 +464,9 @@
             .get(&profile.pool)
             .copied()
             .unwrap_or(INITIAL_PLAIN_MS);
+        let allowed = self.regions.resolve(&profile.regions);
         for (key, target) in self.targets.iter() {
-            if !target.serves(now, profile) {
+            if !target.is_permitted(&allowed) || !target.serves(now, profile) {
                 continue;
             }
             let mut left = target.notice.back_off_left(now);
--- a/src/route/profile.rs
+++ b/src/route/profile.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 use crate::route::engine::Size;
+use crate::route::regions::Regions;
 
 common! { value
 /// What the placement needs to know about a request.
@@ -10,6 +11,8 @@
     pub pool: String,
     /// Model that it names; none for plain services.
     pub model: Option<String>,
+    /// Regions that may serve it.
+    pub regions: Regions,
     /// Oldest version of the model that may run it.
     pub min_version: u64,
     /// Length of its prompt and expected answer; zero for plain services.
--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -11,6 +11,7 @@
 use crate::route::profile::RequestProfile;
 use crate::route::rate_share::RateLimit;
 use crate::route::recovery::Recovery;
+use crate::route::regions::AllowedRegions;
 
 /// Age at which another entry's report of its calls is ignored.
 pub(super) const LOAD_EXPIRY: Millis = Millis(1_000);
@@ -79,6 +80,10 @@
     pub(super) delay_ms: f64,
     /// True when it is in another zone than this entry.
     pub(super) remote: bool,
+    /// Number of its zone's region; none when that is unknown.
+    pub(super) region: Option<usize>,
+    /// True while its zone is evacuated.
+    pub(super) evacuated: bool,
     /// True when the registry lists it as draining, or no longer lists it.
     pub(super) leaving: bool,
     /// What its answers said about itself.
@@ -105,7 +110,13 @@
 impl Target {
     /// Returns true when it may get requests now.
     pub fn is_open(&self, now: Millis) -> bool {
-        !self.is_leaving() && !self.is_avoided(now)
+        !self.evacuated && !self.is_leaving() && !self.is_avoided(now)
+    }
+
+    /// Returns true when requests that may use the regions `allowed` may be sent to it,
+    /// however few others are left.
+    pub(super) fn is_permitted(&self, allowed: &AllowedRegions) -> bool {
+        !self.evacuated && allowed.includes(self.region)
     }
 
     /// Returns true while it cools down after failures or asked for no requests.
@@ -137,6 +148,7 @@
             "pool": self.registration.pool,
             "zone": self.registration.zone,
             "leaving": self.is_leaving(),
+            "evacuated": self.evacuated,
             "own": self.own_load.calls,
             "calls": load.calls,
             "unread_ms": load.unread_ms,
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -6,6 +6,7 @@
 
 use crate::prelude::*;
 use crate::route::engine::Engine;
+use crate::route::regions::Regions;
 use crate::util;
 
 common! { key
@@ -57,10 +58,21 @@
     pub max_attempts: u32,
     /// Names of pools with their weights: relative shares of the requests.
     pub pools: Vec<(String, u32)>,
+    /// Regions that may serve its requests.
+    pub regions: Regions,
 }
 }
 
 impl Route {
+    /// Returns the regions that may serve its requests on behalf of an organisation: those
+    /// that both allow.
+    pub fn regions_for(&self, organisation: Option<&Organisation>) -> Regions {
+        organisation.map_or_else(
+            || self.regions.clone(),
+            |organisation| self.regions.intersect(&organisation.regions),
+        )
+    }
+
     /// Returns the name of the pool for the request with the id `request`.
     ///
     /// Every process chooses the same pool for the same id.
@@ -115,6 +127,8 @@
     pub name: String,
     /// Priority of its requests, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions that may serve its requests.
+    pub regions: Regions,
 }
 }
 
@@ -233,6 +247,14 @@
         !self.organisations.is_empty()
     }
 
+    /// Returns true when a route or an organisation is restricted to regions.
+    pub fn is_restricted(&self) -> bool {
+        let mut routes = self.routes.iter();
+        let mut organisations = self.organisations.iter();
+        routes.any(|route| route.regions.is_restricted())
+            || organisations.any(|organisation| organisation.regions.is_restricted())
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.routes.len()
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -9,6 +9,7 @@
 use chervilquay::route::placement::Placer;
 use chervilquay::route::profile::RequestProfile;
 use chervilquay::route::recovery::Outcome;
+use chervilquay::route::regions::Regions;
 use chervilquay::route::target::RunnerStatus;
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
@@ -64,6 +65,7 @@
     RequestProfile {
         pool: "p".to_string(),
         model: Some("m".to_string()),
+        regions: Regions::Any,
         min_version,
         size: Size {
             prompt: 500.0,
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -4,6 +4,7 @@
 use chervilquay::route::engine::Size;
 use chervilquay::route::placement::Placer;
 use chervilquay::route::profile::RequestProfile;
+use chervilquay::route::regions::Regions;
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
 use chervilquay::table::routing::Routing;
@@ -40,6 +41,7 @@
     RequestProfile {
         pool: "p".to_string(),
         model: None,
+        regions: Regions::Any,
         min_version: 0,
         size: Size {
             prompt: 0.0,
