direct: Check regions and evacuations once more before a send is written

Cause: a zone may be evacuated while a connection to one of its upstreams is opened (up to 350 ms), and a configuration may restrict a route while the body of a request arrives, which takes seconds on slow links. Change: Client::send_checked calls a check once the connection is open; the entry asks the placer again there. The regions of a request are those of its arrival that a later configuration still allows. A send that the check stops is known not to be run, and does not count against the upstream.

--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -18,6 +18,8 @@
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
 use crate::route::profile::RequestProfile;
+use crate::route::regions::Regions;
+use crate::route::target::Target;
 use crate::table::routing::Organisation;
 use crate::table::routing::Route;
 use crate::table::routing::Routing;
@@ -36,6 +38,8 @@
     pub call: CallerHeaders,
     /// The matched route.
     pub route: Arc<Route>,
+    /// Version of the configuration that it was matched by.
+    pub config: u64,
     /// The caller's organisation.
     pub organisation: Option<Arc<Organisation>>,
     /// HTTP method.
@@ -108,6 +112,7 @@
         signatures,
         call,
         route,
+        config: routing.version(),
         organisation,
         method: parts.method,
         target,
@@ -119,6 +124,29 @@
     })
 }
 
+/// Returns the regions that may serve a request now: those that were allowed when it was
+/// matched and that a later configuration still allows.
+pub fn current_regions(entry: &Entry, inbound: &InboundRequest) -> Regions {
+    let regions = &inbound.profile.regions;
+    let cluster = entry.node.cluster();
+    let later = cluster.routing().filter(|r| r.version() != inbound.config);
+    let later = later.map(|routing| {
+        let organisation = inbound.organisation.as_ref().map(|o| o.name.as_str());
+        routing.regions_of(&inbound.route.name, organisation)
+    });
+    later.map_or_else(|| regions.clone(), |later| regions.intersect(&later))
+}
+
+/// Fails when a request may no longer be sent to the upstream that was chosen for it.
+pub fn check_target(entry: &Entry, inbound: &InboundRequest, target: Key<Target>) -> Result<()> {
+    let regions = current_regions(entry, inbound);
+    if entry.placer().permits(target, &regions) {
+        return Ok(());
+    }
+    let detail = "the upstream left, or its zone was evacuated, before the send";
+    Err(Error::new(Code::NoUpstream, detail))
+}
+
 /// Refuses a body that is longer than the limit before any of it is read.
 fn check_length(headers: &HeaderMap, routing: &Routing) -> Result<()> {
     let length = headers.get(header::CONTENT_LENGTH);
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -16,6 +16,7 @@
 use crate::direct::decision_log::Kind;
 use crate::direct::entry::CallGuard;
 use crate::direct::entry::Entry;
+use crate::direct::inbound;
 use crate::direct::inbound::InboundRequest;
 use crate::direct::relay;
 use crate::metric::Metric;
@@ -269,6 +270,7 @@
     let spent = now.since(inbound.arrived).0 as f64;
     profile.slack_ms = profile.slack_ms.map(|s| s - spent).filter(|s| *s > 0.0);
     profile.time_left -= spent;
+    profile.regions = inbound::current_regions(entry, inbound);
     if let Some(model) = &profile.model {
         let bound = entry.node.settings().rollout_bound;
         profile.min_version = entry
@@ -399,7 +401,10 @@
             SendOutcome::Failure(response)
         }
         Err(error) if error.run == Run::NotRun => {
-            call.set_outcome(Outcome::Refused);
+            call.set_outcome(match error.code {
+                Code::NoUpstream => Outcome::Dropped,
+                _ => Outcome::Refused,
+            });
             if error.code == Code::ConnectionRefused {
                 entry.record_refused(target);
             }
@@ -543,11 +548,11 @@
     // the answer to this one, so a request that may run only once gets a new
     // connection.
     let is_new_connection = inbound.route.repeat == Repeat::Never;
-    let sent = if is_new_connection {
-        client.send_fresh(request).await?
-    } else {
-        client.send(request).await?
-    };
+    // The zone may be evacuated while the connection is opened.
+    let check = || inbound::check_target(entry, inbound, target);
+    let sent = client
+        .send_checked(request, is_new_connection, check)
+        .await?;
     let (response, kept) = Client::split(sent);
     let status = response.status();
     let reply = headers::decode_reply(status, response.headers());
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -131,7 +131,28 @@
     ///
     /// No late answer to an earlier request can be taken for the answer to this one.
     pub async fn send_fresh(&self, request: Request<BoxBody>) -> Result<Answer> {
-        let connection = connect(self.addr, self.limits.connect_timeout).await?;
+        self.send_checked(request, true, || Ok(())).await
+    }
+
+    /// Sends a request once, on a new connection if `is_fresh` as by [`Client::send_fresh`].
+    ///
+    /// `check` is called once the connection is open. If it fails, nothing is sent and its
+    /// error is returned.
+    pub async fn send_checked(
+        &self,
+        request: Request<BoxBody>,
+        is_fresh: bool,
+        check: impl FnOnce() -> Result<()>,
+    ) -> Result<Answer> {
+        let connection = if is_fresh {
+            connect(self.addr, self.limits.connect_timeout).await?
+        } else {
+            self.idle_or_new().await?
+        };
+        if let Err(error) = check() {
+            self.keep(connection);
+            return Err(error);
+        }
         self.exchange(connection, request).await
     }
 
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -26,6 +26,7 @@
 use crate::route::rate_share::Statement;
 use crate::route::recovery::Outcome;
 use crate::route::recovery::Recovery;
+use crate::route::regions::Regions;
 use crate::route::regions::ZoneRegions;
 use crate::route::spread;
 use crate::route::spread::Candidate;
@@ -265,6 +266,13 @@
         self.targets.get(key)
     }
 
+    /// Returns true when requests that may use `regions` may be sent to this upstream: it
+    /// was not removed and its zone is neither excluded nor evacuated.
+    pub fn permits(&self, key: Key<Target>, regions: &Regions) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|t| t.is_permitted(&self.regions.resolve(regions)))
+    }
+
     /// Returns the key of the upstream with this id.
     pub fn find(&self, id: &str) -> Option<Key<Target>> {
         self.by_id.get(id).copied()
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -247,6 +247,22 @@
         !self.organisations.is_empty()
     }
 
+    /// Returns the regions that may serve requests of the route and the organisation with
+    /// these names. A route or organisation that is not named here restricts nothing.
+    pub fn regions_of(&self, route: &str, organisation: Option<&str>) -> Regions {
+        let route = self.routes.iter().find(|r| r.name == route);
+        let organisation = self
+            .organisations
+            .iter()
+            .find(|o| Some(o.name.as_str()) == organisation);
+        let organisation = organisation.map(|o| &o.regions);
+        route
+            .map(|r| &r.regions)
+            .into_iter()
+            .chain(organisation)
+            .fold(Regions::Any, |both, regions| both.intersect(regions))
+    }
+
     /// Returns true when a route or an organisation is restricted to regions.
     pub fn is_restricted(&self) -> bool {
         let mut routes = self.routes.iter();
--- a/tests/evacuate_entry.rs
+++ b/tests/evacuate_entry.rs
@@ -2,9 +2,17 @@
 
 mod support;
 
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 
+use chervilquay::error::Code;
+use chervilquay::error::Error;
+use chervilquay::error::Run;
+use chervilquay::net::body;
+use chervilquay::net::client::Client;
+use chervilquay::net::rt;
 use serde_json::Value;
 use serde_json::json;
 use support::prepared;
@@ -199,3 +207,51 @@
         assert_eq!(counts[1], 0);
     }
 }
+
+/// Guards against a request that is sent by a restriction that has been replaced while its
+/// body arrived.
+#[test]
+fn restriction_counts_at_the_send() {
+    let setup = Setup::new(6, |_| {});
+    let entry = setup.entry();
+    let text = request("POST", "/safe/1", "a", "body");
+    let (first, rest) = text.split_at(text.len() - 2);
+    let mut caller = TcpStream::connect(entry.callers).expect("a connection");
+    caller.write_all(first.as_bytes()).expect("a part");
+    // The answer to a later request shows that the entry has read the head of the first.
+    setup.send(&entry, "/safe/2", 1);
+    let mut config = prepared::config(2);
+    config["routes"][0]["allowed_regions"] = json!(["q"]);
+    setup.store.put("op/config", &config);
+    until(|| entry.version() == 2);
+    let before = setup.counts();
+    caller.write_all(rest.as_bytes()).expect("the rest");
+    let answer = prepared::read_message(&mut caller).expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(setup.counts(), [before[0], before[1] + 1, before[2]]);
+}
+
+/// Guards against a request that is written although its zone was evacuated while its
+/// connection was opened, and against a connection that is lost with it.
+#[test]
+fn check_comes_before_the_write() {
+    let (runner, addr) = Runner::start(Ipv4Addr::new(127, 0, 52, 7));
+    let client = Client::new(addr);
+    let send = |is_allowed: bool, is_fresh: bool| {
+        let request = http::Request::post("/a").header("host", "h");
+        let request = request.body(body::full("")).expect("a request");
+        let check = || match is_allowed {
+            true => Ok(()),
+            false => Err(Error::new(Code::NoUpstream, "evacuated")),
+        };
+        let sent = rt::run(1, client.send_checked(request, is_fresh, check));
+        sent.map(|answer| answer.response.status().as_u16())
+    };
+    for is_fresh in [true, false] {
+        let error = send(false, is_fresh).expect_err("not allowed");
+        assert_eq!((error.code, error.run), (Code::NoUpstream, Run::NotRun));
+    }
+    assert_eq!(runner.requests().len(), 0);
+    assert_eq!(send(true, true).expect("an answer"), 200);
+    assert_eq!(runner.requests().len(), 1);
+}
