cmd: Show regions in check and explain, and report pairs without one

Cause: an empty intersection of the regions of a route and an organisation was seen only by its refused requests, and nothing showed evacuated zones. The entry logs up to 8 pairs when a configuration comes into force, the dump lists evacuated zones, and the gauge zone.evacuated counts them.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -11,6 +11,7 @@
 use crate::config::EntrySettings;
 use crate::config::check as settings;
 use crate::error::Code;
+use crate::platform::config_check;
 use crate::platform::settings as platform;
 use crate::table::check as table;
 use crate::yaml::Finding;
@@ -30,8 +31,8 @@
     /// files to check
     #[argh(positional)]
     pub files: Vec<PathBuf>,
-    /// kind of the files: entry, agent, routes, pools or machine (the settings
-    /// of a prepared machine)
+    /// kind of the files: entry, agent, routes, pools, machine (the settings of a
+    /// prepared machine) or config (the configuration of prepared machines)
     #[argh(option)]
     pub kind: Option<Kind>,
     /// text or json
@@ -52,6 +53,8 @@
     Pools,
     /// Settings that the platform gives to a prepared machine.
     Machine,
+    /// Configuration document of prepared machines.
+    Config,
 }
 }
 
@@ -65,7 +68,8 @@
             "routes" => Ok(Kind::Routes),
             "pools" => Ok(Kind::Pools),
             "machine" => Ok(Kind::Machine),
-            _ => Err("expected entry, agent, routes, pools or machine".to_string()),
+            "config" => Ok(Kind::Config),
+            _ => Err("expected entry, agent, routes, pools, machine or config".to_string()),
         }
     }
 }
@@ -130,6 +134,7 @@
         Some(Kind::Routes) => table::routes(file, text),
         Some(Kind::Pools) => table::pools(file, text),
         Some(Kind::Machine) => check_machine(file, text),
+        Some(Kind::Config) => config_check::check(file, text),
         None => report_unknown(file, text),
     }
 }
@@ -139,6 +144,9 @@
     if text.lines().any(|line| line.starts_with("node_name=")) {
         return Some(Kind::Machine);
     }
+    if config_check::is_config(text) {
+        return Some(Kind::Config);
+    }
     let by_field = [
         ("routes", Kind::Routes),
         ("pools", Kind::Pools),
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -5,8 +5,11 @@
 
 use eyre::WrapErr as _;
 
+use crate::cmd::explain_config;
 use crate::cmd::output;
 use crate::cmd::output::Format;
+use crate::platform::config;
+use crate::platform::settings;
 use crate::table::TableSet;
 use crate::table::check;
 use crate::table::doc::Upstream;
@@ -27,10 +30,19 @@
     pub path: String,
     /// routes table
     #[argh(option)]
-    pub routes: PathBuf,
+    pub routes: Option<PathBuf>,
     /// pools table
     #[argh(option)]
-    pub pools: PathBuf,
+    pub pools: Option<PathBuf>,
+    /// configuration document of prepared machines, in place of the tables
+    #[argh(option)]
+    pub config: Option<PathBuf>,
+    /// settings of a prepared machine, which name the regions of the zones
+    #[argh(option)]
+    pub machine: Option<PathBuf>,
+    /// host of the request, with a configuration document
+    #[argh(option, default = "String::new()")]
+    pub host: String,
     /// HTTP method, GET by default
     #[argh(option, default = "String::from(\"GET\")")]
     pub method: String,
@@ -95,11 +107,17 @@
     let read = |path: &PathBuf| {
         std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))
     };
-    let (routes, pools) = (read(&args.routes)?, read(&args.pools)?);
+    if let Some(path) = &args.config {
+        return run_config(args, &read(path)?);
+    }
+    let paths = args.routes.as_ref().zip(args.pools.as_ref());
+    let (routes_path, pools_path) =
+        paths.ok_or_else(|| eyre::eyre!("name --routes and --pools, or --config"))?;
+    let (routes, pools) = (read(routes_path)?, read(pools_path)?);
     let Ok(set) = TableSet::parse(&routes, &pools) else {
         let names = (
-            args.routes.display().to_string(),
-            args.pools.display().to_string(),
+            routes_path.display().to_string(),
+            pools_path.display().to_string(),
         );
         let findings = check::set((&names.0, &routes), (&names.1, &pools));
         for finding in &findings {
@@ -124,6 +142,23 @@
     Ok(output::exit_code(!explanation.candidates.is_empty()))
 }
 
+/// Prints the explanation of a request by a configuration document.
+fn run_config(args: &Args, text: &str) -> eyre::Result<ExitCode> {
+    let routing = config::decode(text.as_bytes()).map_err(|e| eyre::eyre!("{e}"))?;
+    let machine = args.machine.as_deref().map(settings::load);
+    let machine = machine.transpose().map_err(|e| eyre::eyre!("{e}"))?;
+    let zones = machine.map_or_else(indexmap::IndexMap::new, |m| m.zones);
+    let (host, organisation) = (&args.host, &args.organisation);
+    let path = args.path.split('?').next().unwrap_or_default();
+    let found = explain_config::explain(&routing, host, path, organisation, &zones);
+    let text = match args.format {
+        Format::Text => explain_config::plain(&found),
+        format => output::render(&found, format)?,
+    };
+    output::print(&text)?;
+    Ok(output::exit_code(found.servable))
+}
+
 /// Splits lines such as `name: value`, with the names in lower case.
 fn headers(lines: &[String]) -> eyre::Result<Vec<(String, String)>> {
     let split = |line: &String| {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod dump;
 pub mod explain;
+pub mod explain_config;
 pub mod fetch;
 pub mod output;
 pub mod prepared;
--- a/src/direct/cluster.rs
+++ b/src/direct/cluster.rs
@@ -21,6 +21,10 @@
 /// is gone.
 const GRACE: Millis = Millis(2_000);
 
+/// Pairs of a route and an organisation without a common region that are reported of one
+/// configuration.
+const MAX_REPORTED_PAIRS: usize = 8;
+
 /// Removed registrations that are remembered; the oldest are dropped beyond it.
 const MAX_REMOVED: usize = 1_024;
 
@@ -29,6 +33,8 @@
 pub enum Change {
     /// The configuration of this version is in force.
     Config(u64),
+    /// The configuration in force allows this route and this organisation no common region.
+    NoRegion(String, String),
     /// The upstream with this id registered or changed its registration.
     Registered(String),
     /// The upstream with this id is gone.
@@ -290,6 +296,10 @@
                     let held = self.routing.as_ref().map_or(0, |r| r.version());
                     if self.routing.is_none() || routing.version() > held {
                         changes.push(Change::Config(routing.version()));
+                        let pairs = routing.without_region().take(MAX_REPORTED_PAIRS);
+                        changes.extend(pairs.map(|(route, organisation)| {
+                            Change::NoRegion(route.name.clone(), organisation.name.clone())
+                        }));
                         self.routing = Some(Arc::new(routing));
                     }
                 }
--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -6,6 +6,7 @@
 
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use smol::channel::Sender;
 use smol::channel::TrySendError;
 
@@ -171,6 +172,9 @@
             Change::Config(version) => {
                 info!(self.logger, "table: configuration in force"; "version" => version, "revision" => revision, "source" => source)
             }
+            Change::NoRegion(route, organisation) => {
+                warn!(self.logger, "table: route and organisation have no common region"; "route" => route, "organisation" => organisation, "source" => source)
+            }
             Change::Registered(id) => {
                 info!(self.logger, "member: upstream registered or changed"; "upstream" => id, "revision" => revision, "source" => source)
             }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -582,6 +582,7 @@
             "config": cluster.routing().map_or(0, |r| r.version()),
             "era": cluster.replica.position().era,
             "revision": cluster.replica.revision(),
+            "evacuated": cluster.evacuations.iter().collect::<Vec<_>>(),
             "running": placer.in_flight(),
             "upstreams": upstreams,
             "peers": peers,
@@ -693,6 +694,8 @@
         };
         let metrics = self.node.metrics();
         metrics.set(Metric::TableRevision, version);
+        let evacuated = self.node.cluster().evacuations.iter().count();
+        metrics.set(Metric::ZoneEvacuated, evacuated as u64);
         metrics.set(Metric::UpstreamOpen, open as u64);
         metrics.set(Metric::UpstreamLimited, limited as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -86,6 +86,7 @@
     PeerRead = "peer.read_bytes", Counter, "bytes", "", "bytes of values that peers have sent when asked for changes of the store";
     LogLeftOut = "log.left_out", Counter, "lines", "", "log lines beyond the bound of their kind";
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
+    ZoneEvacuated = "zone.evacuated", Gauge, "zones", "", "availability zones that the operator has evacuated";
     UpstreamLimited = "upstream.limited", Gauge, "upstreams", "", "upstreams that limit the requests of all entries together";
     CrashCounted = "crash.counted", Counter, "crashes", "", "crashes of upstreams that an entry counted against requests";
     CrashBlocked = "crash.blocked", Gauge, "signatures", "", "requests and parts of prompts that are blocked as upstreams crash when they begin to answer them";
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! modules and makes no decisions.
 
 pub mod config;
+pub mod config_check;
 pub mod headers;
 pub mod registry;
 pub mod runner;
--- a/src/route/regions.rs
+++ b/src/route/regions.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns true when no region is allowed by both.
+    pub fn is_disjoint(&self, other: &Regions) -> bool {
+        match (self, other) {
+            (Regions::Any, regions) | (regions, Regions::Any) => regions.is_empty(),
+            (Regions::Only(names), Regions::Only(_)) => !names.iter().any(|n| other.allows(n)),
+        }
+    }
+
     /// Returns true when there is a restriction.
     pub fn is_restricted(&self) -> bool {
         *self != Regions::Any
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -251,10 +251,7 @@
     /// these names. A route or organisation that is not named here restricts nothing.
     pub fn regions_of(&self, route: &str, organisation: Option<&str>) -> Regions {
         let route = self.routes.iter().find(|r| r.name == route);
-        let organisation = self
-            .organisations
-            .iter()
-            .find(|o| Some(o.name.as_str()) == organisation);
+        let organisation = organisation.and_then(|name| self.organisation_named(name));
         let organisation = organisation.map(|o| &o.regions);
         route
             .map(|r| &r.regions)
@@ -263,6 +260,22 @@
             .fold(Regions::Any, |both, regions| both.intersect(regions))
     }
 
+    /// Returns the organisation with this name.
+    pub fn organisation_named(&self, name: &str) -> Option<&Arc<Organisation>> {
+        self.organisations.iter().find(|o| o.name == name)
+    }
+
+    /// Iterates over the pairs of a route and an organisation that have no region in common:
+    /// all requests of such a pair are refused.
+    pub fn without_region(&self) -> impl Iterator<Item = (&Route, &Organisation)> {
+        let routes = self.routes.iter().filter(|r| r.regions.is_restricted());
+        let pairs = routes.flat_map(|route| {
+            let organisations = self.organisations.iter();
+            organisations.map(move |organisation| (&**route, &**organisation))
+        });
+        pairs.filter(|(route, organisation)| route.regions.is_disjoint(&organisation.regions))
+    }
+
     /// Returns true when a route or an organisation is restricted to regions.
     pub fn is_restricted(&self) -> bool {
         let mut routes = self.routes.iter();
