--- a/src/direct/cluster.rs
+++ b/src/direct/cluster.rs
@@ -2,6 +2,7 @@
 //! of weights, decoded from the replica of the store. No I/O and no clock.
 
 use crate::member::StoreWatch;
+use crate::member::evacuation::Evacuations;
 use crate::member::registry::Registration;
 use crate::platform::config;
 use crate::platform::registry;
@@ -20,6 +21,10 @@
 /// is gone.
 const GRACE: Millis = Millis(2_000);
 
+/// Pairs of a route and an organisation without a common region that are reported of one
+/// configuration.
+const MAX_REPORTED_PAIRS: usize = 8;
+
 /// Removed registrations that are remembered; the oldest are dropped beyond it.
 const MAX_REMOVED: usize = 1_024;
 
@@ -28,6 +33,8 @@
 pub enum Change {
     /// The configuration of this version is in force.
     Config(u64),
+    /// The configuration in force allows this route and this organisation no common region.
+    NoRegion(String, String),
     /// The upstream with this id registered or changed its registration.
     Registered(String),
     /// The upstream with this id is gone.
@@ -35,6 +42,8 @@
     /// The registration of the upstream with this id is missing, perhaps
     /// because it expired while the store was away.
     Missing(String),
+    /// The operator evacuated this zone (true), or revoked its evacuation.
+    Evacuation(String, bool),
     /// The operator named this version of a model's weights; none if it is not the newest.
     VersionNamed(String, u64, Option<Naming>),
     /// A peer told when a version was named: it was unknown here, or dated later.
@@ -57,6 +66,8 @@
     pub watch: StoreWatch,
     /// Versions of weights that were named, with their times.
     pub versions: Versions,
+    /// Availability zones that are evacuated.
+    pub evacuations: Evacuations,
     routing: Option<Arc<Routing>>,
     /// Upstreams without a registration, with the end of their grace period.
     missing: IndexMap<String, Millis>,
@@ -257,7 +268,7 @@
     }
 
     /// Applies one changed document. A configuration that is not newer than the one
-    /// in force is ignored, and so is the removal of any but a registration.
+    /// in force is ignored, and so is the removal of any but a registration or an evacuation.
     ///
     /// When a version was named is not known at the first read (`is_start`), nor before the
     /// replica was complete; later it is derived from the reading of the store.
@@ -269,6 +280,13 @@
             changes.extend(change);
             return;
         }
+        if let Some(zone) = registry::evacuated_zone(key) {
+            let is_evacuated = doc.value.is_some();
+            if self.evacuations.set(zone, is_evacuated) {
+                changes.push(Change::Evacuation(zone.to_string(), is_evacuated));
+            }
+            return;
+        }
         let Some(value) = &doc.value else {
             return;
         };
@@ -278,6 +296,10 @@
                     let held = self.routing.as_ref().map_or(0, |r| r.version());
                     if self.routing.is_none() || routing.version() > held {
                         changes.push(Change::Config(routing.version()));
+                        let pairs = routing.without_region().take(MAX_REPORTED_PAIRS);
+                        changes.extend(pairs.map(|(route, organisation)| {
+                            Change::NoRegion(route.name.clone(), organisation.name.clone())
+                        }));
                         self.routing = Some(Arc::new(routing));
                     }
                 }
--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -6,6 +6,7 @@
 
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use smol::channel::Sender;
 use smol::channel::TrySendError;
 
@@ -171,6 +172,9 @@
             Change::Config(version) => {
                 info!(self.logger, "table: configuration in force"; "version" => version, "revision" => revision, "source" => source)
             }
+            Change::NoRegion(route, organisation) => {
+                warn!(self.logger, "table: route and organisation have no common region"; "route" => route, "organisation" => organisation, "source" => source)
+            }
             Change::Registered(id) => {
                 info!(self.logger, "member: upstream registered or changed"; "upstream" => id, "revision" => revision, "source" => source)
             }
@@ -180,6 +184,12 @@
             Change::Missing(id) => {
                 info!(self.logger, "member: entry lapsed while the store was away"; "upstream" => id, "revision" => revision, "source" => source)
             }
+            Change::Evacuation(zone, true) => {
+                info!(self.logger, "member: zone is evacuated"; "zone" => zone, "revision" => revision, "source" => source)
+            }
+            Change::Evacuation(zone, false) => {
+                info!(self.logger, "member: evacuation is revoked"; "zone" => zone, "revision" => revision, "source" => source)
+            }
             Change::VersionNamed(model, version, naming) => {
                 let age = naming.as_ref().map(|n| now.since(n.at).0);
                 let dating = naming.as_ref().map(|n| format!("{:?}", n.dating));
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -183,9 +183,10 @@
     /// Creates an entry that knows no configuration or upstreams yet.
     pub fn new(node: Node) -> Arc<Entry> {
         let seed = node.started() ^ util::stable_hash([node.settings().name.as_str()]);
-        let zone = node.settings().zone.clone();
+        let mut placer = Placer::new(&node.settings().zone, seed);
+        placer.set_zones(&node.settings().zones);
         let entry = Arc::new(Entry {
-            placer: Mutex::new(Placer::new(&zone, seed)),
+            placer: Mutex::new(placer),
             retry_budgets: Mutex::default(),
             crashes: CrashGuard::new(node.clone()),
             clients: Mutex::default(),
@@ -201,6 +202,7 @@
             };
             let bound = entry.node.settings().rollout_bound;
             let mut placer = entry.placer();
+            placer.set_evacuated(&cluster.evacuations);
             placer.set_members(cluster.members.values(), routing);
             placer.set_versions(cluster.versions.clone(), bound);
         });
@@ -580,6 +582,7 @@
             "config": cluster.routing().map_or(0, |r| r.version()),
             "era": cluster.replica.position().era,
             "revision": cluster.replica.revision(),
+            "evacuated": cluster.evacuations.iter().collect::<Vec<_>>(),
             "running": placer.in_flight(),
             "upstreams": upstreams,
             "peers": peers,
@@ -691,6 +694,8 @@
         };
         let metrics = self.node.metrics();
         metrics.set(Metric::TableRevision, version);
+        let evacuated = self.node.cluster().evacuations.iter().count();
+        metrics.set(Metric::ZoneEvacuated, evacuated as u64);
         metrics.set(Metric::UpstreamOpen, open as u64);
         metrics.set(Metric::UpstreamLimited, limited as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
