route: Share an overloaded pool by rank and kind of request

Under overload, the kind with the longest objective tolerates the longest queue and fills it up to a length at which requests of more urgent kinds are late. Entries now count offered and admitted requests by route and rank and tell each other in their datagrams (tag 25). While more urgent or equally urgent kinds are refused, a kind is held back to the share of the least served of these, with a lead of 0.02 a rank, and its allowed wait is bounded by their objective. A pool whose requests all have one rank, and one where nothing is refused, is not restricted. RequestProfile gets the rank, which the runner's queue uses too. SizeFairness becomes a part of the counts.

`bench place` gets kinds of three ranks (ranks-0.7, ranks-1.5, rank-burst, urgent-burst) and figures by kind.

--- a/src/bench/place/load.rs
+++ b/src/bench/place/load.rs
@@ -26,21 +26,31 @@
     pub objective: f64,
     /// Worth of its usual request.
     pub worth: f64,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
 }
 
 /// Kinds of request in the load; their shares add up to 1.
 pub const KINDS: [Kind; 3] = [
-    kind(0.40, 1_290.0, 105.0, 500.0, 2.4),
-    kind(0.31, 787.0, 105.0, 400.0, 2.0),
-    kind(0.29, 607.0, 70.0, 400.0, 1.5),
+    kind(0.40, 1_290.0, 105.0, 500.0, 2.4, 0),
+    kind(0.31, 787.0, 105.0, 400.0, 2.0, 0),
+    kind(0.29, 607.0, 70.0, 400.0, 1.5, 0),
 ];
 
-const fn kind(share: f64, prompt: f64, output: f64, objective: f64, worth: f64) -> Kind {
+/// Kinds of request of the patterns with several ranks; their shares add up to 1.
+pub const RANKED_KINDS: [Kind; 3] = [
+    kind(0.335, 1_290.0, 126.0, 400.0, 3.6, 0),
+    kind(0.405, 787.0, 126.0, 400.0, 1.7, 1),
+    kind(0.26, 607.0, 70.0, 800.0, 0.55, 2),
+];
+
+const fn kind(share: f64, prompt: f64, output: f64, objective: f64, worth: f64, rank: u8) -> Kind {
     Kind {
         share,
         usual: Size { prompt, output },
         objective,
         worth,
+        rank,
     }
 }
 
@@ -57,6 +67,14 @@
     Slow,
     /// Every runner reloads in turn at 0.8 of the capacity.
     Reload,
+    /// Kinds of three ranks at a constant load, in percent of the capacity.
+    Ranks(u32),
+    /// Kinds of three ranks at 0.9 of the capacity; 2.5 times the usual requests of the
+    /// least urgent kind for 5.5 seconds in ten.
+    RankBurst,
+    /// The same; 1.8 times the usual requests of the most urgent kind for four seconds in
+    /// ten.
+    UrgentBurst,
 }
 }
 
@@ -73,9 +91,41 @@
         ("reload", Pattern::Reload),
     ];
 
+    /// Every pattern with kinds of several ranks, with its name.
+    pub const RANKED: [(&'static str, Pattern); 4] = [
+        ("ranks-0.7", Pattern::Ranks(70)),
+        ("ranks-1.5", Pattern::Ranks(150)),
+        ("rank-burst", Pattern::RankBurst),
+        ("urgent-burst", Pattern::UrgentBurst),
+    ];
+
+    /// The kinds of request.
+    pub fn kinds(self) -> &'static [Kind; 3] {
+        if self.is_ranked() {
+            &RANKED_KINDS
+        } else {
+            &KINDS
+        }
+    }
+
+    /// Returns true when its kinds have several ranks.
+    pub fn is_ranked(self) -> bool {
+        Pattern::RANKED.iter().any(|(_, p)| *p == self) || matches!(self, Pattern::Ranks(_))
+    }
+
+    /// Rate of a kind at a time in milliseconds, relative to its usual rate.
+    fn kind_rate(self, kind: usize, at: f64) -> f64 {
+        match self {
+            Pattern::RankBurst if kind == 2 && at % 10_000.0 > 4_500.0 => 2.5,
+            Pattern::UrgentBurst if kind == 0 && at % 10_000.0 > 6_000.0 => 1.8,
+            _ => 1.0,
+        }
+    }
+
     /// The pattern with this name; `steady-` goes with any load from 0.01 to 10.
     pub fn named(name: &str) -> Option<Pattern> {
-        let found = Pattern::ALL.iter().find(|(n, _)| *n == name);
+        let mut known = Pattern::ALL.iter().chain(&Pattern::RANKED);
+        let found = known.find(|(n, _)| *n == name);
         found.map(|(_, pattern)| *pattern).or_else(|| {
             let load: f64 = name.strip_prefix("steady-")?.parse().ok()?;
             let is_usable = (0.01..=10.0).contains(&load);
@@ -86,9 +136,10 @@
     /// Load at a time in milliseconds, relative to the capacity.
     fn load_at(self, at: f64) -> f64 {
         match self {
-            Pattern::Steady(percent) => f64::from(percent) / 100.0,
+            Pattern::Steady(percent) | Pattern::Ranks(percent) => f64::from(percent) / 100.0,
             Pattern::Burst if at % 10_000.0 > 7_000.0 => 2.0,
             Pattern::Slow => 0.6,
+            Pattern::RankBurst | Pattern::UrgentBurst => 0.9,
             Pattern::Burst | Pattern::Lost | Pattern::Reload => 0.8,
         }
     }
@@ -131,27 +182,33 @@
     run_ms: f64,
 ) -> Vec<Arrival> {
     let capacity = runners as f64 / engine.completion_interval();
+    let kinds = pattern.kinds();
     let mut arrivals = Vec::new();
     let mut at = 0.0;
     loop {
-        let rate = capacity * pattern.load_at(at);
+        let shares: [f64; 3] = std::array::from_fn(|k| kinds[k].share * pattern.kind_rate(k, at));
+        let total = match pattern.is_ranked() {
+            true => shares.iter().sum(),
+            false => 1.0,
+        };
+        let rate = capacity * pattern.load_at(at) * total;
         at += -(1.0 - rng.f64()).ln() / rate;
         if at >= run_ms {
             return arrivals;
         }
-        arrivals.push(arrival(at, rng));
+        arrivals.push(arrival(at, kinds, shares.map(|s| s / total), rng));
     }
 }
 
 /// Draws a request that arrives at the time `at`.
-fn arrival(at: f64, rng: &mut Rng) -> Arrival {
+fn arrival(at: f64, kinds: &[Kind; 3], shares: [f64; 3], rng: &mut Rng) -> Arrival {
     let mut draw = rng.f64();
-    let kind = KINDS.iter().position(|kind| {
-        draw -= kind.share;
+    let kind = shares.iter().position(|share| {
+        draw -= share;
         draw < 0.0
     });
     let kind = kind.unwrap_or(0);
-    let Kind { usual, worth, .. } = KINDS[kind];
+    let Kind { usual, worth, .. } = kinds[kind];
     let prompt = (usual.prompt * lognormal(rng, 0.9)).clamp(50.0, 3_900.0);
     let output = (usual.output * lognormal(rng, 1.0)).clamp(5.0, 260.0);
     let estimate = (output * lognormal(rng, 0.5) * 1.13).clamp(5.0, 400.0);
--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 
 use crate::bench::place::load::Arrival;
-use crate::bench::place::load::KINDS;
+use crate::bench::place::load::Kind;
 use crate::bench::place::load::Pattern;
 use crate::bench::place::runner::AnswerEvent;
 use crate::bench::place::runner::Runner;
@@ -21,6 +21,9 @@
 use crate::member::registry::Holding;
 use crate::member::registry::Registration;
 use crate::prelude::*;
+use crate::route::admission::Admission;
+use crate::route::admission::KindId;
+use crate::route::admission::Offer;
 use crate::route::engine::Engine;
 use crate::route::engine::Model;
 use crate::route::engine::Size;
@@ -29,7 +32,6 @@
 use crate::route::placement::Placer;
 use crate::route::profile::RequestProfile;
 use crate::route::recovery::Outcome;
-use crate::route::size_fairness::SizeFairness;
 use crate::route::target::RunnerStatus;
 use crate::route::target::Target;
 use crate::table::routing::Limits;
@@ -51,6 +53,10 @@
 /// Least time after which a refused caller retries, in milliseconds, as entries advise it.
 const RETRY_MS: f64 = 120.0;
 
+/// Interval at which entries receive each other's counts of admitted requests, in
+/// milliseconds.
+const COUNTS_INTERVAL_MS: f64 = 250.0;
+
 /// Time since arrival after which a caller leaves its request, in milliseconds.
 const CALLER_WAIT_MS: f64 = 6_000.0;
 
@@ -117,6 +123,29 @@
     /// Share answered of the tenth of a kind with the greatest worth, relative to the share
     /// answered of the whole kind; the least among the kinds of request.
     pub largest: f64,
+    /// Figures of each kind of request.
+    pub kinds: Vec<GroupSummary>,
+    /// Share of the callers that came back after a refusal and were refused again.
+    pub refused_again: f64,
+}
+
+/// Results of the requests of one kind or zone.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GroupSummary {
+    /// Share of the requests that was answered.
+    pub served: f64,
+    /// Worth earned, relative to the worth of the requests.
+    pub credit: f64,
+}
+
+impl GroupSummary {
+    fn json(groups: &[GroupSummary]) -> Value {
+        let round = |v: f64| (v * 1_000.0).round() / 1_000.0;
+        let figures = |f: fn(&GroupSummary) -> f64| -> Vec<f64> {
+            groups.iter().map(|g| round(f(g))).collect()
+        };
+        json!({"served": figures(|g| g.served), "credit": figures(|g| g.credit)})
+    }
 }
 
 impl Summary {
@@ -129,6 +158,8 @@
             "late": round(self.late), "refused": round(self.refused),
             "failed": round(self.failed), "wasted": round(self.wasted),
             "by_size_largest": round(self.largest),
+            "by_kind": GroupSummary::json(&self.kinds),
+            "refused_again": round(self.refused_again),
         })
     }
 }
@@ -158,6 +189,23 @@
     }
 }
 
+/// Figures of the engines that serve kinds of several ranks.
+pub fn ranked_engine() -> Engine {
+    Engine {
+        slots: 12,
+        step_ms: 7.4,
+        request_ms: 0.0387,
+        context_ms: 0.0203,
+        read_rate: 31.9,
+        stride: 7.0,
+        usual: Size {
+            prompt: 909.0,
+            output: 111.0,
+        },
+        ..engine()
+    }
+}
+
 /// One request and what has become of it; times are in milliseconds.
 #[derive(Clone, Debug)]
 struct Request {
@@ -194,8 +242,10 @@
     to_send: BTreeMap<(u64, usize), ()>,
     /// Open calls by entry and runner, which the baselines place by.
     open_calls: Vec<Vec<usize>>,
-    /// Fairness between sizes, by entry and kind of request.
-    sizes: Vec<[SizeFairness; KINDS.len()]>,
+    /// Kinds of request.
+    kinds: &'static [Kind; 3],
+    /// Requests offered and admitted, by entry.
+    admissions: Vec<Admission>,
     rng: Rng,
     /// Events of answers whose request had ended.
     wasted_events: f64,
@@ -212,9 +262,12 @@
 /// Runs a load pattern under a policy before this fleet.
 pub fn run_fleet(fleet: Fleet, pattern: Pattern, policy: Policy, seed: u64) -> Summary {
     let mut rng = Rng::with_seed(seed);
-    let engine = engine();
+    let engine = match pattern.is_ranked() {
+        true => ranked_engine(),
+        false => engine(),
+    };
     let arrivals = load::arrivals(pattern, &engine, fleet.runners, &mut rng, RUN_MS);
-    let mut simulation = Simulation::new(fleet, policy, engine, arrivals, rng);
+    let mut simulation = Simulation::new(fleet, policy, engine, pattern.kinds(), arrivals, rng);
     simulation.simulate(pattern);
     simulation.summary()
 }
@@ -240,6 +293,7 @@
         fleet: Fleet,
         policy: Policy,
         engine: Engine,
+        kinds: &'static [Kind; 3],
         arrivals: Vec<Arrival>,
         mut rng: Rng,
     ) -> Simulation {
@@ -303,7 +357,8 @@
                 .map(|(i, r)| ((micros(r.arrival.at), i), ()))
                 .collect(),
             open_calls: vec![vec![0; runner_count]; entry_count],
-            sizes: vec![Default::default(); entry_count],
+            kinds,
+            admissions: vec![Admission::default(); entry_count],
             requests,
             engine,
             rng,
@@ -318,6 +373,7 @@
         let (mut exchanged_at, mut fault_at) = (0.0, 0.0);
         let interval = self.fleet.exchange_ms / self.fleet.phases as f64;
         let mut phase = 0;
+        let mut counts_at = 0.0;
         while now < RUN_MS + CALLER_WAIT_MS {
             let pass_end = self.runners.iter().filter_map(Runner::pass_end);
             let pass_end = pass_end.fold(f64::INFINITY, f64::min);
@@ -336,6 +392,10 @@
                 self.exchange_status(pattern, phase, now);
                 phase = (phase + 1) % self.fleet.phases;
             }
+            if now >= counts_at + COUNTS_INTERVAL_MS {
+                counts_at = now;
+                self.exchange_counts(now);
+            }
             if now >= fault_at + FAULT_INTERVAL_MS {
                 fault_at = now;
                 self.apply_faults(pattern, now);
@@ -396,6 +456,28 @@
         }
     }
 
+    /// Gives each entry the counts of all others.
+    fn exchange_counts(&mut self, now: f64) {
+        let at = millis(now);
+        let counts: Vec<_> = self.admissions.iter().map(|a| a.counts(at)).collect();
+        for (index, admission) in self.admissions.iter_mut().enumerate() {
+            for (other, counts) in counts.iter().enumerate() {
+                if other != index {
+                    admission.on_peer(at, &other.to_string(), counts.clone());
+                }
+            }
+        }
+    }
+
+    /// Kind of a request as entries count it.
+    fn kind_id(&self, kind: usize) -> KindId {
+        KindId {
+            route: kind as u64,
+            pool: 0,
+            rank: self.kinds[kind].rank,
+        }
+    }
+
     /// Changes the pace of runners at random and applies the faults of the pattern.
     fn apply_faults(&mut self, pattern: Pattern, now: f64) {
         let mut lost = Vec::new();
@@ -437,23 +519,32 @@
         let spent = now - request.arrival.at;
         let read_ms = self.engine.read_ms(request.arrival.estimate.prompt);
         let weight = request.arrival.estimate.weight();
-        let sizes = &mut self.sizes[request.entry][request.arrival.kind];
-        if request.refusals == 0 {
-            sizes.on_request(millis(now), weight, self.engine.usual.weight());
-        }
-        let slack = KINDS[request.arrival.kind].objective - spent - 15.0;
+        let Kind {
+            objective, rank, ..
+        } = self.kinds[request.arrival.kind];
+        let offer = Offer {
+            kind: self.kind_id(request.arrival.kind),
+            objective,
+            weight,
+            usual: self.engine.usual.weight(),
+            returning: request.refusals > 0,
+        };
+        let standing = self.admissions[request.entry].on_offered(millis(now), &offer);
+        let slack = objective - spent - 15.0;
         RequestProfile {
             pool: "p".to_string(),
             model: Some("m".to_string()),
             min_version: 0,
+            rank,
             size: request.arrival.estimate,
             slack_ms: (slack > 0.0).then_some(slack),
             max_pause: Some(MAX_PAUSE_MS),
             time_left: CALLER_WAIT_MS - spent,
             read_ms,
             value_density: self.engine.value_density(request.arrival.estimate),
-            relative_size: weight / sizes.large_weight(),
-            large_preference: sizes.large_preference(),
+            relative_size: weight / standing.large_weight,
+            large_preference: standing.large_preference,
+            allowance: standing.allowance,
         }
     }
 
@@ -471,7 +562,8 @@
                         .map(|t| t.registration.id.clone());
                     let runner = name.and_then(|n| n[1..].parse().ok()).unwrap_or(0);
                     let call = self.entries[entry].on_sent(at, target, &profile, first_ms);
-                    self.sizes[entry][request.arrival.kind].on_admitted(profile.size.weight());
+                    let kind = self.kind_id(request.arrival.kind);
+                    self.admissions[entry].on_admitted(at, kind, profile.size.weight());
                     self.requests[index].target = Some(target);
                     self.requests[index].call = Some(call);
                     Some(runner)
@@ -499,7 +591,7 @@
         let sent = RunnerRequest {
             id: index,
             size: request.arrival.size,
-            urgency: if profile.slack_ms.is_some() { 2 } else { 7 },
+            urgency: profile.rank + if profile.slack_ms.is_some() { 1 } else { 6 },
         };
         if !self.runners[runner].accept(now, sent) {
             self.end_call(now, index, Outcome::Busy);
@@ -571,34 +663,60 @@
         let count = self.requests.len().max(1) as f64;
         let (mut earned, mut offered) = (0.0, 0.0);
         for request in &self.requests {
-            let Arrival {
-                at, worth, kind, ..
-            } = request.arrival;
-            offered += worth;
-            if !request.is_answered {
-                if request.first_at.is_some() {
-                    figures.failed += 1.0 / count;
-                } else {
-                    figures.refused += 1.0 / count;
-                }
-                continue;
-            }
-            let first = request.first_at.unwrap_or(f64::INFINITY) - at;
-            if first <= KINDS[kind].objective && request.longest_pause <= MAX_PAUSE_MS {
-                figures.on_time += 1.0 / count;
-                earned += worth;
-            } else {
-                figures.late += 1.0 / count;
-                earned += LATE_SHARE * worth;
-            }
+            let credit = self.credit(request);
+            offered += request.arrival.worth;
+            earned += credit * request.arrival.worth;
+            let share = match (request.is_answered, request.first_at) {
+                (true, _) if credit >= 1.0 => &mut figures.on_time,
+                (true, _) => &mut figures.late,
+                (false, Some(_)) => &mut figures.failed,
+                (false, None) => &mut figures.refused,
+            };
+            *share += 1.0 / count;
         }
         figures.credit = earned / offered.max(1e-9);
         figures.wasted = self.wasted_events / self.event_count.max(1.0);
-        let largest = (0..KINDS.len()).map(|kind| self.largest_share(kind));
+        figures.kinds = (0..self.kinds.len())
+            .map(|kind| self.group(|r| r.arrival.kind == kind))
+            .collect();
+        let returned = self.requests.iter().filter(|r| r.refusals > 0);
+        let again = self.requests.iter().filter(|r| r.refusals > 1);
+        figures.refused_again = again.count() as f64 / (returned.count() as f64).max(1.0);
+        let largest = (0..self.kinds.len()).map(|kind| self.largest_share(kind));
         figures.largest = largest.fold(f64::INFINITY, f64::min);
         figures
     }
 
+    /// Share of its worth that a request has earned.
+    fn credit(&self, request: &Request) -> f64 {
+        let Arrival { at, kind, .. } = request.arrival;
+        let first = request.first_at.unwrap_or(f64::INFINITY) - at;
+        match request.is_answered {
+            false => 0.0,
+            true if first <= self.kinds[kind].objective
+                && request.longest_pause <= MAX_PAUSE_MS =>
+            {
+                1.0
+            }
+            true => LATE_SHARE,
+        }
+    }
+
+    /// Results of some of the requests.
+    fn group(&self, belongs: impl Fn(&Request) -> bool) -> GroupSummary {
+        let (mut count, mut served, mut offered, mut earned) = (0.0, 0.0, 0.0, 0.0);
+        for request in self.requests.iter().filter(|r| belongs(r)) {
+            count += 1.0;
+            served += f64::from(u8::from(request.is_answered));
+            offered += request.arrival.worth;
+            earned += self.credit(request) * request.arrival.worth;
+        }
+        GroupSummary {
+            served: served / f64::max(count, 1.0),
+            credit: earned / f64::max(offered, 1e-9),
+        }
+    }
+
     /// Share answered of the tenth of a kind with the greatest worth, relative to the whole kind.
     fn largest_share(&self, kind: usize) -> f64 {
         let mut requests: Vec<&Request> = self.requests.iter().collect();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -49,13 +49,14 @@
 use crate::retry::Refusal;
 use crate::retry::Refusals;
 use crate::retry::WindowBudget;
+use crate::route::admission::Admission;
+use crate::route::admission::Offer;
+use crate::route::admission::Standing;
 use crate::route::placement::Call;
 use crate::route::placement::Placer;
 use crate::route::profile::RequestProfile;
 use crate::route::recovery::Outcome;
-use crate::route::size_fairness::SizeFairness;
 use crate::route::target::Target;
-use crate::table::routing::Route;
 use crate::util;
 use crate::util::lock;
 
@@ -84,10 +85,6 @@
 /// File descriptors that are left for files and listeners.
 const RESERVED_DESCRIPTORS: usize = 200;
 
-/// Number of routes with counts of sizes at which all counts are dropped, so that
-/// removed routes do not fill the memory.
-const MAX_ROUTES: usize = 4_096;
-
 /// Time before the expiry of a version from which answers from it are logged.
 const EXPIRY_NOTICE: Millis = Millis(1_000);
 
@@ -118,8 +115,8 @@
     clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
     /// Refused requests whose callers may send them again.
     pub(super) refusals: Mutex<Refusals>,
-    /// Counts of request sizes, by route.
-    sizes: Mutex<IndexMap<String, SizeFairness>>,
+    /// Requests offered and admitted, here and at the other entries of the zone.
+    pub(super) admission: Mutex<Admission>,
     /// Memory for answers that are read whole.
     pub(super) answer_memory: Arc<MemoryBudget>,
 }
@@ -190,7 +187,7 @@
             crashes: CrashGuard::new(node.clone()),
             clients: Mutex::default(),
             refusals: Mutex::default(),
-            sizes: Mutex::default(),
+            admission: Mutex::default(),
             answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
@@ -306,37 +303,15 @@
         lock(&self.refusals).record(now, refused);
     }
 
-    /// Counts a request of a route by its weight, unless it is a later attempt.
-    /// Returns the least weight of the route's large requests, and how much those
-    /// are preferred, from 0 to 1.
-    pub fn count_offered(
-        &self,
-        route: &Route,
-        time_lost: Millis,
-        weight: f64,
-        usual: f64,
-    ) -> (f64, f64) {
-        let now = self.node.now();
-        let mut sizes = lock(&self.sizes);
-        if sizes.len() >= MAX_ROUTES {
-            sizes.clear();
-        }
-        // `IndexMap::entry` would copy the name for each request.
-        if !sizes.contains_key(&route.name) {
-            sizes.insert(route.name.clone(), SizeFairness::default());
-        }
-        let held = &mut sizes[&route.name];
-        if time_lost == Millis(0) {
-            held.on_request(now, weight, usual);
-        }
-        (held.large_weight(), held.large_preference())
+    /// Counts a request, unless it is a later attempt, and returns its standing.
+    pub fn count_offered(&self, offer: &Offer) -> Standing {
+        lock(&self.admission).on_offered(self.node.now(), offer)
     }
 
     /// Counts a request by its weight as sent to an upstream.
     pub fn count_placed(&self, inbound: &InboundRequest) {
-        if let Some(sizes) = lock(&self.sizes).get_mut(&inbound.route.name) {
-            sizes.on_admitted(inbound.profile.size.weight());
-        }
+        let weight = inbound.profile.size.weight();
+        lock(&self.admission).on_admitted(self.node.now(), inbound.kind, weight);
     }
 
     /// Counts a request for the budget of repeated sends.
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -2,6 +2,7 @@
 
 use crate::direct::entry::Entry;
 use crate::direct::wire::Datagram;
+use crate::direct::wire::KindDoc;
 use crate::direct::wire::LimitDoc;
 use crate::direct::wire::LoadDoc;
 use crate::direct::wire::RefusedDoc;
@@ -31,6 +32,8 @@
             unread: unread as u32,
         })
         .collect();
+    let counts = lock(&entry.admission).counts(now);
+    datagram.kinds = counts.iter().map(|(k, c)| KindDoc::new(*k, c)).collect();
     let recent = lock(&entry.refusals).recent(now);
     datagram.refused = recent.iter().map(|r| RefusedDoc::new(now, r)).collect();
 }
@@ -62,6 +65,8 @@
             .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
             .collect();
         entry.placer().on_loads(now, &datagram.name, &loads);
+        let counts = datagram.kinds.iter().map(|k| k.to_counts()).collect();
+        lock(&entry.admission).on_peer(now, &datagram.name, counts);
     }
     if let Some(doc) = &datagram.status {
         entry.placer().on_status(&doc.upstream, status(now, doc));
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -15,12 +15,15 @@
 use crate::platform::headers;
 use crate::platform::headers::CallerHeaders;
 use crate::prelude::*;
+use crate::route::admission::KindId;
+use crate::route::admission::Offer;
 use crate::route::engine::Engine;
 use crate::route::engine::Size;
 use crate::route::profile::RequestProfile;
 use crate::table::routing::Organisation;
 use crate::table::routing::Route;
 use crate::table::routing::Routing;
+use crate::util;
 
 /// Time before the objective at which an answer should leave the entry, in
 /// milliseconds.
@@ -50,6 +53,8 @@
     pub arrived: Millis,
     /// When its answer must have ended.
     pub deadline: Millis,
+    /// Kind by which the admission counts it.
+    pub kind: KindId,
     /// What the placement needs to know to choose an upstream.
     pub profile: RequestProfile,
     /// Hash that identifies the request over its attempts and entries.
@@ -98,10 +103,13 @@
     let owner = call.credential.as_deref().unwrap_or_default();
     let fingerprint = suspect::fingerprint(owner, parts.method.as_str(), &target, &body);
     let time_lost = entry.time_lost(&fingerprint, arrived, call.time_left);
-    let profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    let rank = organisation.as_ref().and_then(|o| o.priority);
+    let rank = rank.unwrap_or(route.priority);
+    let (kind, profile) = profile(entry, &routing, &route, &call, rank, time_lost, patience)?;
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
+        kind,
         profile,
         fingerprint,
         signatures,
@@ -146,16 +154,17 @@
     Ok(known.cloned())
 }
 
-/// Describes a request for the placement. `time_lost` is lost at earlier
-/// attempts, `patience` the time that the caller waits, in milliseconds.
+/// Counts a request and describes it for the placement. `time_lost` is lost at
+/// earlier attempts, `patience` the time that the caller waits, in milliseconds.
 fn profile(
     entry: &Entry,
     routing: &Routing,
     route: &Route,
     call: &CallerHeaders,
+    rank: u8,
     time_lost: Millis,
     patience: u64,
-) -> Result<RequestProfile> {
+) -> Result<(KindId, RequestProfile)> {
     let pool = route.pool(&call.id).ok_or_else(|| {
         Error::new(
             Code::NoUpstream,
@@ -171,20 +180,34 @@
     let left = route.objective.0 as f64 - time_lost.0 as f64 - OBJECTIVE_MARGIN_MS;
     let read_ms = engine.map_or(0.0, |e| e.read_ms(size.prompt));
     let usual = engine.map_or(1.0, |e| e.usual.weight());
-    let (large, large_preference) = entry.count_offered(route, time_lost, size.weight(), usual);
-    Ok(RequestProfile {
+    let kind = KindId {
+        route: util::stable_hash([pool, route.name.as_str()]),
+        pool: util::stable_hash([pool]),
+        rank,
+    };
+    let standing = entry.count_offered(&Offer {
+        kind,
+        objective: route.objective.0 as f64,
+        weight: size.weight(),
+        usual,
+        returning: time_lost > Millis(0),
+    });
+    let profile = RequestProfile {
         pool: pool.to_string(),
         model: call.model.clone().filter(|_| engine.is_some()),
         min_version: 0,
+        rank,
         size,
         slack_ms: (left > 0.0).then_some(left),
         max_pause: route.gap_target.map(|pause| pause.0 as f64),
         time_left: patience as f64,
         read_ms,
         value_density: engine.map_or(1.0, |e| e.value_density(size)),
-        relative_size: size.weight() / large,
-        large_preference,
-    })
+        relative_size: size.weight() / standing.large_weight,
+        large_preference: standing.large_preference,
+        allowance: standing.allowance,
+    };
+    Ok((kind, profile))
 }
 
 /// Returns the expected output of a request, in tokens; `longest` is the longest
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -479,8 +479,7 @@
 fn urgency(inbound: &InboundRequest) -> u8 {
     /// First rank of late requests.
     const LATE: u8 = 6;
-    let owner = inbound.organisation.as_ref().and_then(|o| o.priority);
-    let rank = owner.unwrap_or(inbound.route.priority).min(3);
+    let rank = inbound.profile.rank.min(3);
     if inbound.profile.slack_ms.is_none() {
         LATE + rank
     } else {
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -15,6 +15,8 @@
 use crate::rollout::versions::Dating;
 use crate::rollout::versions::NamedVersion;
 use crate::rollout::versions::Naming;
+use crate::route::admission::Counts;
+use crate::route::admission::KindId;
 use crate::route::rate_share::Statement;
 use crate::table::packing;
 use crate::table::packing::Packed;
@@ -98,6 +100,9 @@
     /// Era of the store to which `revision` belongs.
     #[prost(uint64, tag = "24")]
     pub era: u64,
+    /// Requests that an entry was offered and has admitted lately, by kind.
+    #[prost(message, repeated, tag = "25")]
+    pub kinds: Vec<KindDoc>,
 }
 
 impl Datagram {
@@ -120,6 +125,58 @@
     }
 }
 
+/// Requests of one kind at an entry, decayed over time.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct KindDoc {
+    /// Hash of the names of the pool and of the route.
+    #[prost(fixed64, tag = "1")]
+    pub route: u64,
+    /// Hash of the name of the pool.
+    #[prost(fixed64, tag = "2")]
+    pub pool: u64,
+    /// Rank of the requests; 0 is the most urgent.
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    /// Requests that arrived, in tenths.
+    #[prost(uint32, tag = "4")]
+    pub offered: u32,
+    /// Requests that were sent to an upstream, in tenths.
+    #[prost(uint32, tag = "5")]
+    pub admitted: u32,
+    /// Objective of the route, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub objective: u32,
+}
+
+impl KindDoc {
+    /// Encodes the counts of a kind.
+    pub fn new(kind: KindId, counts: &Counts) -> KindDoc {
+        KindDoc {
+            route: kind.route,
+            pool: kind.pool,
+            rank: u32::from(kind.rank),
+            offered: (counts.offered * 10.0).round() as u32,
+            admitted: (counts.admitted * 10.0).round() as u32,
+            objective: counts.objective as u32,
+        }
+    }
+
+    /// Decodes the counts of a kind.
+    pub fn to_counts(self) -> (KindId, Counts) {
+        let kind = KindId {
+            route: self.route,
+            pool: self.pool,
+            rank: self.rank.min(u32::from(u8::MAX)) as u8,
+        };
+        let counts = Counts {
+            offered: f64::from(self.offered) / 10.0,
+            admitted: f64::from(self.admitted) / 10.0,
+            objective: f64::from(self.objective),
+        };
+        (kind, counts)
+    }
+}
+
 /// A version of weights that the operator named.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct NamedDoc {
--- /dev/null
+++ b/src/route/admission.rs
@@ -0,0 +1,248 @@
+//! Shares the capacity of a pool among its kinds of request while requests are refused.
+//!
+//! It is made for load above the capacity on a pool that serves several ranks. Without
+//! it, the kind with the longest objective tolerates the longest queues and fills them up
+//! to a length at which the most urgent requests are never on time. The shares served are
+//! measured by entries of a zone together, since one entry takes too few requests a
+//! second. Each kind is held back to the share of the least served kind of equal or more
+//! urgent rank, so shares become equal and the more urgent kinds lead slightly.
+
+use crate::prelude::*;
+use crate::route::size_fairness::SizeFairness;
+
+/// Half-life of the counts, in milliseconds. Bursts last four seconds or more, and a
+/// zone takes a few hundred requests in this time.
+const HALF_LIFE_MS: f64 = 2_000.0;
+
+/// Age at which the counts of another entry are ignored.
+const PEER_EXPIRY: Millis = Millis(1_000);
+
+/// Most kinds and routes that are counted, and most kinds that are read from one peer.
+const MAX_KINDS: usize = 256;
+
+/// Requests that each count starts with as admitted, so that a kind with few requests
+/// does not hold back others after one refusal.
+const PRIOR_REQUESTS: f64 = 2.0;
+
+/// Served shares at which a kind begins to hold back others, and at which it does so
+/// fully. Above the first, hardly anything is refused.
+const REFUSED_RANGE: (f64, f64) = (0.98, 0.94);
+
+/// Lead in the served share of a rank over the next less urgent one. Callers count a
+/// more urgent kind that is served less as a fault, so equal shares need a margin.
+const RANK_LEAD: f64 = 0.02;
+
+/// Excess of the served share over the bound at which every request of a kind is refused.
+/// With half of it, the shares oscillate, as counts of other entries arrive late.
+const EXCESS_BAND: f64 = 0.10;
+
+common! { key
+/// Requests of one route and rank to one pool.
+pub struct KindId {
+    /// Hash of the names of the pool and of the route.
+    pub route: u64,
+    /// Hash of the name of the pool.
+    pub pool: u64,
+    /// Rank of the requests; 0 is the most urgent.
+    pub rank: u8,
+}
+}
+
+/// Requests of one kind, decayed over time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    /// Requests that arrived, not counting later attempts.
+    pub offered: f64,
+    /// Requests that were sent to an upstream.
+    pub admitted: f64,
+    /// Objective of the kind, in milliseconds.
+    pub objective: f64,
+}
+
+impl Counts {
+    /// Returns the share of the requests that is served.
+    pub fn share(&self) -> f64 {
+        let share = (self.admitted + PRIOR_REQUESTS) / (self.offered + PRIOR_REQUESTS);
+        share.min(1.0)
+    }
+
+    /// Returns how far the kind is refused, from 0 to 1.
+    fn refused_degree(&self) -> f64 {
+        let (none, full) = REFUSED_RANGE;
+        ((none - self.share()) / (none - full)).clamp(0.0, 1.0)
+    }
+
+    fn add(&mut self, other: &Counts) {
+        self.offered += other.offered;
+        self.admitted += other.admitted;
+        self.objective = self.objective.max(other.objective);
+    }
+}
+
+/// What a kind of request may use of its pool.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Bound of the time left until the objective, as far as it allows a wait, in
+    /// milliseconds: the least objective of the more urgent kinds that are refused.
+    pub slack_cap: f64,
+    /// Probability with which a request is refused although it would be on time.
+    pub refuse: f64,
+}
+
+impl Default for Allowance {
+    fn default() -> Allowance {
+        Allowance {
+            slack_cap: f64::INFINITY,
+            refuse: 0.0,
+        }
+    }
+}
+
+/// One request, as it is counted.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Its kind.
+    pub kind: KindId,
+    /// Objective of its route, in milliseconds.
+    pub objective: f64,
+    /// Its weight.
+    pub weight: f64,
+    /// Weight of the usual request of the pool.
+    pub usual: f64,
+    /// True when its caller was refused before.
+    pub returning: bool,
+}
+
+/// What the counts say about a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Smallest weight that counts as large on its route.
+    pub large_weight: f64,
+    /// How strongly large requests of its route are preferred, from 0 to 1.
+    pub large_preference: f64,
+    /// What its kind may use of the pool.
+    pub allowance: Allowance,
+}
+
+/// Counts of one entry, and the latest counts of the other entries of its zone.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    own: IndexMap<KindId, Counts>,
+    decayed_at: Millis,
+    /// Counts of other entries by name, and when they were received.
+    peers: IndexMap<String, (Millis, Vec<(KindId, Counts)>)>,
+    /// Counts of sizes, by the hash of the route.
+    sizes: IndexMap<u64, SizeFairness>,
+}
+
+impl Admission {
+    /// Counts a request, unless it is a later attempt, and returns its standing.
+    pub fn on_offered(&mut self, now: Millis, offer: &Offer) -> Standing {
+        if self.own.len() >= MAX_KINDS && !self.own.contains_key(&offer.kind) {
+            self.own.clear();
+        }
+        if self.sizes.len() >= MAX_KINDS && !self.sizes.contains_key(&offer.kind.route) {
+            self.sizes.clear();
+        }
+        self.decay(now);
+        let counts = self.own.entry(offer.kind).or_default();
+        let sizes = self.sizes.entry(offer.kind.route).or_default();
+        counts.objective = offer.objective;
+        if !offer.returning {
+            counts.offered += 1.0;
+            sizes.on_request(now, offer.weight, offer.usual);
+        }
+        Standing {
+            large_weight: sizes.large_weight(),
+            large_preference: sizes.large_preference(),
+            allowance: self.allowance(now, offer.kind),
+        }
+    }
+
+    /// Counts a request by its weight as sent to an upstream.
+    pub fn on_admitted(&mut self, now: Millis, kind: KindId, weight: f64) {
+        self.decay(now);
+        if let Some(counts) = self.own.get_mut(&kind) {
+            counts.admitted += 1.0;
+        }
+        if let Some(sizes) = self.sizes.get_mut(&kind.route) {
+            sizes.on_admitted(weight);
+        }
+    }
+
+    /// Returns the counts of this entry, for [`Admission::on_peer`] of the others.
+    pub fn counts(&self, now: Millis) -> Vec<(KindId, Counts)> {
+        let factor = self.decay_factor(now);
+        let counts = self.own.iter().map(|(kind, held)| {
+            let decayed = Counts {
+                offered: held.offered * factor,
+                admitted: held.admitted * factor,
+                ..*held
+            };
+            (*kind, decayed)
+        });
+        counts.filter(|(_, held)| held.offered >= 0.05).collect()
+    }
+
+    /// Records the counts of another entry of the zone.
+    pub fn on_peer(&mut self, now: Millis, name: &str, mut counts: Vec<(KindId, Counts)>) {
+        counts.truncate(MAX_KINDS);
+        self.peers.retain(|_, (at, _)| now.since(*at) < PEER_EXPIRY);
+        self.peers.insert(name.to_string(), (now, counts));
+    }
+
+    /// Returns the counts of the kinds of a pool at all entries of the zone.
+    pub fn zone_counts(&self, now: Millis, pool: u64) -> IndexMap<KindId, Counts> {
+        let fresh = self.peers.values();
+        let fresh = fresh.filter(|(at, _)| now.since(*at) < PEER_EXPIRY);
+        let peers = fresh.flat_map(|(_, counts)| counts.iter().map(|(kind, held)| (kind, held)));
+        let mut sums: IndexMap<KindId, Counts> = IndexMap::new();
+        for (kind, held) in self.own.iter().chain(peers) {
+            if kind.pool == pool {
+                sums.entry(*kind).or_default().add(held);
+            }
+        }
+        sums
+    }
+
+    /// Returns what a kind may use of its pool.
+    ///
+    /// Pools with requests of only one rank are not restricted.
+    pub fn allowance(&self, now: Millis, kind: KindId) -> Allowance {
+        let sums = self.zone_counts(now, kind.pool);
+        let mut allowance = Allowance::default();
+        let Some(own) = sums.get(&kind) else {
+            return allowance;
+        };
+        if sums.keys().all(|other| other.rank == kind.rank) {
+            return allowance;
+        }
+        for (other, counts) in &sums {
+            if other == &kind || other.rank > kind.rank {
+                continue;
+            }
+            let degree = counts.refused_degree();
+            let behind = f64::from(kind.rank - other.rank);
+            let excess = own.share() - (counts.share() - RANK_LEAD * behind);
+            let refuse = degree * (excess / EXCESS_BAND).clamp(0.0, 1.0);
+            allowance.refuse = allowance.refuse.max(refuse);
+            if degree > 0.0 && other.rank < kind.rank {
+                allowance.slack_cap = allowance.slack_cap.min(counts.objective);
+            }
+        }
+        allowance
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let factor = self.decay_factor(now);
+        for counts in self.own.values_mut() {
+            counts.offered *= factor;
+            counts.admitted *= factor;
+        }
+        self.decayed_at = self.decayed_at.max(now);
+    }
+
+    fn decay_factor(&self, now: Millis) -> f64 {
+        0.5_f64.powf(now.since(self.decayed_at).0 as f64 / HALF_LIFE_MS)
+    }
+}
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -42,19 +42,21 @@
 /// bounded, small requests would fill the queues up to a length at which no large
 /// request can be on time. While too few large requests of a route are admitted,
 /// the bound leaves time for the prompts of large requests, and is longest for
-/// these.
+/// these. While more urgent requests are refused, the wait is bounded by what these can
+/// bear.
 pub fn is_timely(profile: &RequestProfile, best: f64) -> bool {
     let Some(slack) = profile.slack_ms else {
         return false;
     };
+    let wait_slack = slack.min(profile.allowance.slack_cap);
     let density_bound = WAIT_SHARE
-        * slack
+        * wait_slack
         * profile
             .value_density
             .clamp(DENSITY_RANGE.0, DENSITY_RANGE.1);
     let factor = SIZE_FACTOR_RANGE.0
         + (SIZE_FACTOR_RANGE.1 - SIZE_FACTOR_RANGE.0) * profile.relative_size.min(1.0);
-    let fair_bound = FAIR_WAIT_SHARE * slack * factor;
+    let fair_bound = FAIR_WAIT_SHARE * wait_slack * factor;
     let bound = density_bound + profile.large_preference * (fair_bound - density_bound);
     best <= OBJECTIVE_SHARE * slack && best - profile.read_ms <= bound
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -5,6 +5,7 @@
 //! used by entries that send requests straight to upstreams.
 
 pub mod action;
+pub mod admission;
 pub mod admit;
 pub mod affinity;
 pub mod choose;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -483,9 +483,12 @@
         }
         self.add_unseen(now, profile, work_ms, &mut found);
         let best = least_predicted(&found);
-        if !admit::is_timely(profile, best) {
-            // A late answer may only use a slot that would stay empty. Free slots
-            // of slow upstreams do not show that the pool has spare capacity.
+        let refuse = profile.allowance.refuse;
+        let exceeds_share = refuse > 0.0 && self.rng.f64() < refuse;
+        if exceeds_share || !admit::is_timely(profile, best) {
+            // A late answer, or one beyond the share of its kind, may only use a slot
+            // that would stay empty. Free slots of slow upstreams do not show that the
+            // pool has spare capacity.
             found.retain(|c| c.first_ms <= admit::COMPARABLE_RATIO * best);
             let has_capacity = self.free_share(now, &found) >= admit::MIN_POOL_FREE_SHARE;
             found.retain(|c| {
--- a/src/route/profile.rs
+++ b/src/route/profile.rs
@@ -1,6 +1,7 @@
 //! What the placement needs to know about a request.
 
 use crate::prelude::*;
+use crate::route::admission::Allowance;
 use crate::route::engine::Size;
 
 common! { value
@@ -12,6 +13,8 @@
     pub model: Option<String>,
     /// Oldest version of the model that may run it.
     pub min_version: u64,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
     /// Length of its prompt and expected answer; zero for plain services.
     pub size: Size,
     /// Time left until its objective, in milliseconds; none when it is late already.
@@ -29,5 +32,7 @@
     pub relative_size: f64,
     /// How strongly large requests of its route are preferred, from 0 to 1.
     pub large_preference: f64,
+    /// What its kind may use of the pool while requests are refused.
+    pub allowance: Allowance,
 }
 }
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -4,6 +4,7 @@
 
 use chervilquay::member::registry::Holding;
 use chervilquay::member::registry::Registration;
+use chervilquay::route::admission::Allowance;
 use chervilquay::route::engine::Size;
 use chervilquay::route::placement::Choice;
 use chervilquay::route::placement::Placer;
@@ -75,6 +76,8 @@
         value_density: 1.0,
         relative_size: 1.0,
         large_preference: 0.0,
+        rank: 0,
+        allowance: Allowance::default(),
         read_ms: 26.0,
     }
 }
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -1,6 +1,7 @@
 //! Builders for tests of the placement: one pool of a plain service.
 
 use chervilquay::member::registry::Registration;
+use chervilquay::route::admission::Allowance;
 use chervilquay::route::engine::Size;
 use chervilquay::route::placement::Placer;
 use chervilquay::route::profile::RequestProfile;
@@ -51,6 +52,8 @@
         value_density: 1.0,
         relative_size: 1.0,
         large_preference: 0.0,
+        rank: 0,
+        allowance: Allowance::default(),
         read_ms: 0.0,
     }
 }
