retry: Plan the return times of refused callers

Callers that were refused were told to return within a quarter of a second, returned in the same burst and were refused again. While the served share of the pool is below 0.95, a caller that can still meet its objective is now told the next time with room, a tenth of the admissions, and any other the longest time that it accepts, after which a burst has most likely ended. Returning callers are not held back by the share of their kind, and get a late answer from a few free slots once newcomers are no longer refused.

Adds reasons of refusals, shares by rank and the backlog of returns to the metrics, counts of the zone to datagrams for other zones (tag 26), which entries use for upstreams that do not report to them, and the pattern `zones`.

--- a/src/bench/place/load.rs
+++ b/src/bench/place/load.rs
@@ -75,6 +75,9 @@
     /// The same; 1.8 times the usual requests of the most urgent kind for four seconds in
     /// ten.
     UrgentBurst,
+    /// Kinds of three ranks at 1.2 times the capacity in three zones, which take equal load
+    /// and have four, three and two ninths of the runners.
+    Zones,
 }
 }
 
@@ -92,11 +95,12 @@
     ];
 
     /// Every pattern with kinds of several ranks, with its name.
-    pub const RANKED: [(&'static str, Pattern); 4] = [
+    pub const RANKED: [(&'static str, Pattern); 5] = [
         ("ranks-0.7", Pattern::Ranks(70)),
         ("ranks-1.5", Pattern::Ranks(150)),
         ("rank-burst", Pattern::RankBurst),
         ("urgent-burst", Pattern::UrgentBurst),
+        ("zones", Pattern::Zones),
     ];
 
     /// The kinds of request.
@@ -113,6 +117,21 @@
         Pattern::RANKED.iter().any(|(_, p)| *p == self) || matches!(self, Pattern::Ranks(_))
     }
 
+    /// Number of zones.
+    pub fn zones(self) -> usize {
+        if self == Pattern::Zones { 3 } else { 1 }
+    }
+
+    /// Zone of a runner.
+    pub fn zone_of_runner(self, runner: usize) -> usize {
+        match runner % 9 {
+            _ if self.zones() == 1 => 0,
+            0..4 => 0,
+            4..7 => 1,
+            _ => 2,
+        }
+    }
+
     /// Rate of a kind at a time in milliseconds, relative to its usual rate.
     fn kind_rate(self, kind: usize, at: f64) -> f64 {
         match self {
@@ -139,6 +158,7 @@
             Pattern::Steady(percent) | Pattern::Ranks(percent) => f64::from(percent) / 100.0,
             Pattern::Burst if at % 10_000.0 > 7_000.0 => 2.0,
             Pattern::Slow => 0.6,
+            Pattern::Zones => 1.2,
             Pattern::RankBurst | Pattern::UrgentBurst => 0.9,
             Pattern::Burst | Pattern::Lost | Pattern::Reload => 0.8,
         }
--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -21,6 +21,9 @@
 use crate::member::registry::Holding;
 use crate::member::registry::Registration;
 use crate::prelude::*;
+use crate::retry::Returns;
+use crate::retry::returns;
+use crate::retry::returns::Refused;
 use crate::route::admission::Admission;
 use crate::route::admission::KindId;
 use crate::route::admission::Offer;
@@ -50,13 +53,16 @@
 /// Longest pause between events with which an answer is on time, in milliseconds.
 const MAX_PAUSE_MS: f64 = 400.0;
 
-/// Least time after which a refused caller retries, in milliseconds, as entries advise it.
-const RETRY_MS: f64 = 120.0;
-
 /// Interval at which entries receive each other's counts of admitted requests, in
 /// milliseconds.
 const COUNTS_INTERVAL_MS: f64 = 250.0;
 
+/// Interval at which a runner reports to entries of other zones, in milliseconds.
+const REMOTE_INTERVAL_MS: f64 = 500.0;
+
+/// Entries of each other zone to which a runner reports.
+const REMOTE_REPORTS: usize = 4;
+
 /// Time since arrival after which a caller leaves its request, in milliseconds.
 const CALLER_WAIT_MS: f64 = 6_000.0;
 
@@ -125,6 +131,8 @@
     pub largest: f64,
     /// Figures of each kind of request.
     pub kinds: Vec<GroupSummary>,
+    /// Figures of the callers of each zone.
+    pub zones: Vec<GroupSummary>,
     /// Share of the callers that came back after a refusal and were refused again.
     pub refused_again: f64,
 }
@@ -159,6 +167,7 @@
             "failed": round(self.failed), "wasted": round(self.wasted),
             "by_size_largest": round(self.largest),
             "by_kind": GroupSummary::json(&self.kinds),
+            "by_zone": GroupSummary::json(&self.zones),
             "refused_again": round(self.refused_again),
         })
     }
@@ -210,6 +219,8 @@
 #[derive(Clone, Debug)]
 struct Request {
     arrival: Arrival,
+    /// Zone of its caller.
+    zone: usize,
     entry: usize,
     /// Upstream that the placer chose; `None` under the baselines.
     target: Option<Key<Target>>,
@@ -242,10 +253,15 @@
     to_send: BTreeMap<(u64, usize), ()>,
     /// Open calls by entry and runner, which the baselines place by.
     open_calls: Vec<Vec<usize>>,
+    pattern: Pattern,
+    /// When runners last reported to entries of other zones, in milliseconds.
+    remote_at: f64,
     /// Kinds of request.
     kinds: &'static [Kind; 3],
     /// Requests offered and admitted, by entry.
     admissions: Vec<Admission>,
+    /// Callers told to return, by entry.
+    returns: Vec<Returns>,
     rng: Rng,
     /// Events of answers whose request had ended.
     wasted_events: f64,
@@ -267,7 +283,7 @@
         false => engine(),
     };
     let arrivals = load::arrivals(pattern, &engine, fleet.runners, &mut rng, RUN_MS);
-    let mut simulation = Simulation::new(fleet, policy, engine, pattern.kinds(), arrivals, rng);
+    let mut simulation = Simulation::new(fleet, policy, pattern, engine, arrivals, rng);
     simulation.simulate(pattern);
     simulation.summary()
 }
@@ -277,6 +293,16 @@
     format!("u{index}")
 }
 
+/// Name of a zone.
+fn zone_name(index: usize) -> String {
+    format!("z{index}")
+}
+
+/// Returns true when a runner reports to an entry of another zone that has `count` entries.
+fn is_reader(entry: usize, runner: usize, count: usize) -> bool {
+    (entry + count - runner % count.max(1)) % count.max(1) < REMOTE_REPORTS
+}
+
 /// Microseconds of a time in milliseconds, as a key of the requests to send.
 fn micros(at: f64) -> u64 {
     (at * 1_000.0) as u64
@@ -292,8 +318,8 @@
     fn new(
         fleet: Fleet,
         policy: Policy,
+        pattern: Pattern,
         engine: Engine,
-        kinds: &'static [Kind; 3],
         arrivals: Vec<Arrival>,
         mut rng: Rng,
     ) -> Simulation {
@@ -314,7 +340,7 @@
             id: upstream_id(index),
             pool: "p".to_string(),
             addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
-            zone: "z".to_string(),
+            zone: zone_name(pattern.zone_of_runner(index)),
             slots: engine.slots,
             draining: false,
             started: 1,
@@ -327,14 +353,17 @@
         };
         let members: Vec<Registration> = (0..runner_count).map(registration).collect();
         let entries = (0..entry_count).map(|index| {
-            let mut placer = Placer::new("z", index as u64);
+            let zone = zone_name(index % pattern.zones());
+            let mut placer = Placer::new(&zone, index as u64);
             placer.set_members(&members, &routing);
             placer
         });
         let requests: Vec<Request> = arrivals
             .into_iter()
-            .map(|arrival| Request {
-                entry: rng.usize(0..entry_count),
+            .map(|arrival| (arrival, rng.usize(0..entry_count)))
+            .map(|(arrival, entry)| Request {
+                entry,
+                zone: entry % pattern.zones(),
                 arrival,
                 target: None,
                 call: None,
@@ -357,8 +386,11 @@
                 .map(|(i, r)| ((micros(r.arrival.at), i), ()))
                 .collect(),
             open_calls: vec![vec![0; runner_count]; entry_count],
-            kinds,
+            pattern,
+            kinds: pattern.kinds(),
+            remote_at: 0.0,
             admissions: vec![Admission::default(); entry_count],
+            returns: vec![Returns::default(); entry_count],
             requests,
             engine,
             rng,
@@ -423,6 +455,11 @@
     fn exchange_status(&mut self, pattern: Pattern, phase: usize, now: f64) {
         let phases = self.fleet.phases;
         let measured_at = millis(now);
+        let zones = pattern.zones();
+        let is_remote_due = now >= self.remote_at + REMOTE_INTERVAL_MS;
+        if is_remote_due {
+            self.remote_at = now;
+        }
         let has_reloads = pattern == Pattern::Reload && now >= load::NAMED_MS;
         for (index, runner) in self.runners.iter_mut().enumerate() {
             runner.tick(now);
@@ -440,8 +477,13 @@
                     .then(|| millis(load::load_order_at(index)))
                     .filter(|at| *at > measured_at),
             };
-            for placer in &mut self.entries {
-                if !runner.down && index % phases == phase {
+            for (entry, placer) in self.entries.iter_mut().enumerate() {
+                let is_due = if entry % zones == pattern.zone_of_runner(index) {
+                    index % phases == phase
+                } else {
+                    is_remote_due && is_reader(entry / zones, index, self.fleet.entries / zones)
+                };
+                if !runner.down && is_due {
                     placer.on_status(&upstream_id(index), status.clone());
                 }
             }
@@ -449,20 +491,31 @@
         let loads: Vec<_> = self.entries.iter().map(Placer::loads).collect();
         for (index, placer) in self.entries.iter_mut().enumerate() {
             for (other, load) in loads.iter().enumerate() {
-                if other != index && other % phases == phase {
+                let is_near = other % zones == index % zones;
+                if other != index && is_near && other / zones % phases == phase {
                     placer.on_loads(measured_at, &other.to_string(), load);
                 }
             }
         }
     }
 
-    /// Gives each entry the counts of all others.
+    /// Gives each entry the counts of all others of its zone.
     fn exchange_counts(&mut self, now: f64) {
+        let zones = self.pattern.zones();
+        let reports: Vec<_> = self.admissions[..zones]
+            .iter()
+            .map(|a| a.zone_report(millis(now)))
+            .collect();
         let at = millis(now);
         let counts: Vec<_> = self.admissions.iter().map(|a| a.counts(at)).collect();
         for (index, admission) in self.admissions.iter_mut().enumerate() {
+            for (zone, report) in reports.iter().enumerate() {
+                if zone != index % zones {
+                    admission.on_zone(at, &zone_name(zone), report.clone());
+                }
+            }
             for (other, counts) in counts.iter().enumerate() {
-                if other != index {
+                if other != index && other % zones == index % zones {
                     admission.on_peer(at, &other.to_string(), counts.clone());
                 }
             }
@@ -554,6 +607,7 @@
         let profile = self.profile(now, &request);
         let at = millis(now);
         let entry = request.entry;
+        let mut after = Millis(0);
         let chosen = match self.policy {
             Policy::Own => match self.entries[entry].choose(at, &profile, &[]) {
                 Choice::Send { target, first_ms } => {
@@ -568,7 +622,11 @@
                     self.requests[index].call = Some(call);
                     Some(runner)
                 }
-                _ => None,
+                Choice::Overloaded { retry_after, .. } => {
+                    after = retry_after;
+                    None
+                }
+                Choice::NoUpstream => None,
             },
             Policy::RandomTwo => {
                 let a = self.rng.usize(0..self.fleet.runners);
@@ -583,7 +641,7 @@
             }
         };
         let Some(runner) = chosen else {
-            self.on_refused(now, index);
+            self.on_refused(now, index, after);
             return;
         };
         self.open_calls[entry][runner] += 1;
@@ -595,21 +653,35 @@
         };
         if !self.runners[runner].accept(now, sent) {
             self.end_call(now, index, Outcome::Busy);
-            self.on_refused(now, index);
+            self.on_refused(now, index, after);
         }
     }
 
-    /// Handles a refusal: the caller retries once, at a random entry, after one to two times
-    /// `RETRY_MS`, which is within a third of `CALLER_WAIT_MS`.
-    fn on_refused(&mut self, now: f64, index: usize) {
+    /// Handles a refusal: the caller retries once, at a random entry, when its entry tells
+    /// it. `after` is the time after which the placement expects a slot.
+    fn on_refused(&mut self, now: f64, index: usize, after: Millis) {
+        let at = millis(now);
         let request = &mut self.requests[index];
         request.refusals += 1;
         if request.refusals > 1 {
             request.is_over = true;
             return;
         }
-        let retry_at = now + RETRY_MS * (1.0 + self.rng.f64());
-        request.entry = self.rng.usize(0..self.fleet.entries);
+        let objective = self.kinds[request.arrival.kind].objective;
+        let refused = Refused {
+            after,
+            patience: Some(CALLER_WAIT_MS - (now - request.arrival.at)),
+            timely: returns::timely_return(objective - (now - request.arrival.at)),
+            pool: self.admissions[request.entry].pool_state(at, 0),
+        };
+        let retry = self.returns[request.entry].plan(at, &refused, &mut self.rng);
+        let zones = self.pattern.zones();
+        let count = self.fleet.entries / zones;
+        request.entry = match zones {
+            1 => self.rng.usize(0..self.fleet.entries),
+            _ => request.zone + zones * self.rng.usize(0..count),
+        };
+        let retry_at = now + retry.0 as f64;
         self.to_send.insert((micros(retry_at), index), ());
     }
 
@@ -679,6 +751,10 @@
         figures.kinds = (0..self.kinds.len())
             .map(|kind| self.group(|r| r.arrival.kind == kind))
             .collect();
+        let zones = self.pattern.zones();
+        figures.zones = (0..zones)
+            .map(|zone| self.group(|r| r.zone == zone))
+            .collect();
         let returned = self.requests.iter().filter(|r| r.refusals > 0);
         let again = self.requests.iter().filter(|r| r.refusals > 1);
         figures.refused_again = again.count() as f64 / (returned.count() as f64).max(1.0);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -48,7 +48,11 @@
 use crate::prelude::*;
 use crate::retry::Refusal;
 use crate::retry::Refusals;
+use crate::retry::Returns;
 use crate::retry::WindowBudget;
+use crate::retry::returns;
+use crate::retry::returns::PoolState;
+use crate::retry::returns::Refused;
 use crate::route::admission::Admission;
 use crate::route::admission::Offer;
 use crate::route::admission::Standing;
@@ -88,15 +92,6 @@
 /// Time before the expiry of a version from which answers from it are logged.
 const EXPIRY_NOTICE: Millis = Millis(1_000);
 
-/// Longest time until a refused caller retries, as a part of its patience.
-const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
-
-/// Least time after which a refused caller retries. Nine runners free a place
-/// every dozen milliseconds, and a caller that retries soon can still be on
-/// time: in `bench place`, 350 ms earns 0.04 less credit while a third of the
-/// runners is lost, and no more under any load pattern.
-const MIN_RETRY: Millis = Millis(120);
-
 /// Memory for all answers that are read whole, in bytes. The processes of a
 /// machine may use 160 MB together.
 const MAX_ANSWER_MEMORY: usize = 32 << 20;
@@ -117,10 +112,25 @@
     pub(super) refusals: Mutex<Refusals>,
     /// Requests offered and admitted, here and at the other entries of the zone.
     pub(super) admission: Mutex<Admission>,
+    /// Callers that were told when to return.
+    returns: Mutex<Returns>,
     /// Memory for answers that are read whole.
     pub(super) answer_memory: Arc<MemoryBudget>,
 }
 
+/// What is known of the caller of a request that is being sent.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    /// Hash of the name of the pool.
+    pool: u64,
+    /// Time left until the objective when the request arrived, in milliseconds.
+    slack: f64,
+    /// Time left until the caller gives up when the request arrived, in milliseconds.
+    time_left: f64,
+    /// When the request arrived.
+    since: Millis,
+}
+
 /// A call to an upstream that the placement counts as in progress until this is
 /// dropped.
 pub struct CallGuard {
@@ -188,6 +198,7 @@
             clients: Mutex::default(),
             refusals: Mutex::default(),
             admission: Mutex::default(),
+            returns: Mutex::default(),
             answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
@@ -477,7 +488,7 @@
             Ok(inbound) => self.clone().send(inbound).await,
             Err(error) => {
                 self.record_refusal(&id, &error);
-                failure_response(&id, &error, None)
+                failure_response(&id, &error, self.plan_return(&error, None))
             }
         };
         if is_chunked || self.node.is_stopping() {
@@ -492,17 +503,43 @@
         let now = self.node.now();
         if let Some(error) = self.refuse_late(now, &inbound) {
             self.record_refusal(&inbound.call.id, &error);
-            return failure_response(&inbound.call.id, &error, None);
+            let retry = self.plan_return(&error, None);
+            return failure_response(&inbound.call.id, &error, retry);
         }
         self.count_request(now, &inbound.profile.pool);
         let id = inbound.call.id.clone();
-        let patience = inbound.profile.time_left;
+        let waiting = Waiting {
+            pool: inbound.kind.pool,
+            slack: inbound.profile.slack_ms.unwrap_or(0.0),
+            time_left: inbound.profile.time_left,
+            since: inbound.arrived,
+        };
         match send::serve(&self, inbound).await {
             Ok(response) => response,
-            Err(error) => failure_response(&id, &error, Some(patience)),
+            Err(error) => {
+                let retry = self.plan_return(&error, Some(waiting));
+                failure_response(&id, &error, retry)
+            }
         }
     }
 
+    /// Returns the time after which the caller of a refused request should retry.
+    fn plan_return(&self, error: &Error, waiting: Option<Waiting>) -> Option<Millis> {
+        let after = error.retry?;
+        let now = self.node.now();
+        let spent = waiting.map_or(0.0, |w| now.since(w.since).0 as f64);
+        let refused = Refused {
+            after,
+            patience: waiting.map(|w| w.time_left - spent),
+            timely: returns::timely_return(waiting.map_or(0.0, |w| w.slack - spent)),
+            pool: waiting.map_or_else(PoolState::default, |w| {
+                lock(&self.admission).pool_state(now, w.pool)
+            }),
+        };
+        let mut rng = fastrand::Rng::new();
+        Some(lock(&self.returns).plan(now, &refused, &mut rng))
+    }
+
     /// Returns when a request must have its answer: by its deadline, and before this process
     /// ends.
     pub fn answer_by(&self, inbound: &InboundRequest) -> Millis {
@@ -670,6 +707,13 @@
         metrics.set(Metric::UpstreamLimited, limited as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
+        let shares = lock(&self.admission).rank_shares(now);
+        for (rank, share) in shares {
+            let percent = (share * 100.0).round() as u64;
+            metrics.set_tagged(Metric::AdmissionShare, &rank.to_string(), percent);
+        }
+        let backlog = lock(&self.returns).backlog(now);
+        metrics.set(Metric::ReturnBacklog, backlog as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
         metrics.text()
     }
@@ -729,12 +773,12 @@
     response
 }
 
-/// Returns the response for an error of the entry; `patience` is the caller's, in
-/// milliseconds.
+/// Returns the response for an error of the entry; `retry` is the time after which the
+/// caller should retry.
 ///
 /// Callers take 408, 421, 429 and 503 as a promise that the request was not run, so
 /// these become 502 unless that is certain.
-fn failure_response(id: &str, error: &Error, patience: Option<f64>) -> Response<BoxBody> {
+fn failure_response(id: &str, error: &Error, retry: Option<Millis>) -> Response<BoxBody> {
     // Callers here take no other status for a request that was not run.
     let status = match error.code {
         Code::RequestBlocked => 503,
@@ -747,10 +791,7 @@
     } else {
         status
     };
-    let retry = error
-        .retry
-        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-    let retry = retry.map(|after| retry_after(after, patience));
+    let retry = retry.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
     let mut response = Response::new(body::full(format!("{error}\n")));
     *response.status_mut() = status;
     *response.headers_mut() = headers::failure_headers(id, retry);
@@ -761,12 +802,3 @@
     }
     response
 }
-
-/// Returns the time until a refused caller should retry, in at most a part of its
-/// patience. It is drawn at random, so that callers that were refused together do
-/// not return together.
-fn retry_after(after: Millis, patience: Option<f64>) -> Millis {
-    let least = after.max(MIN_RETRY).0 as f64;
-    let most = patience.map_or(f64::INFINITY, |p| p * MAX_RETRY_SHARE);
-    Millis((least * (1.0 + fastrand::f64())).min(most) as u64)
-}
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -21,6 +21,8 @@
     datagram.suspects = reports.map(|r| SuspectDoc::new(now, r)).collect();
     add_limits(entry, now, datagram);
     if !near {
+        let report = lock(&entry.admission).zone_report(now);
+        datagram.zone_kinds = report.iter().map(|(k, c)| KindDoc::new(*k, c)).collect();
         return;
     }
     let loads = entry.placer().loads();
@@ -65,8 +67,13 @@
             .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
             .collect();
         entry.placer().on_loads(now, &datagram.name, &loads);
-        let counts = datagram.kinds.iter().map(|k| k.to_counts()).collect();
-        lock(&entry.admission).on_peer(now, &datagram.name, counts);
+        let counts: Vec<_> = datagram.kinds.iter().map(|k| k.to_counts()).collect();
+        if !counts.is_empty() {
+            lock(&entry.admission).on_peer(now, &datagram.name, counts);
+        }
+    } else if datagram.entry && !datagram.zone_kinds.is_empty() {
+        let counts = datagram.zone_kinds.iter().map(|k| k.to_counts()).collect();
+        lock(&entry.admission).on_zone(now, &datagram.zone, counts);
     }
     if let Some(doc) = &datagram.status {
         entry.placer().on_status(&doc.upstream, status(now, doc));
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -29,6 +29,7 @@
 use crate::platform::headers;
 use crate::platform::headers::Dispatch;
 use crate::prelude::*;
+use crate::route::admit;
 use crate::route::placement::Choice;
 use crate::route::recovery::Outcome;
 use crate::route::target::Target;
@@ -292,6 +293,8 @@
     match entry.placer().choose(now, &profile, &attempts.targets) {
         Choice::Send { target, first_ms } => {
             if attempts.sends > 0 && !entry.take_repeat(now, &inbound.profile.pool) {
+                let metrics = entry.node.metrics();
+                metrics.count_tagged(Metric::RequestRefused, "limit");
                 let error = Error::new(Code::Overloaded, "budget of repeated sends is used up");
                 return Err(mark_run(error.with_retry(NO_UPSTREAM_RETRY)));
             }
@@ -301,9 +304,17 @@
             first_ms,
             retry_after,
         } => {
+            let reason = admit::refusal_reason(&profile, first_ms);
+            let metrics = entry.node.metrics();
+            metrics.count_tagged(Metric::RequestRefused, reason);
             let detail = format!(
-                "first event in {first_ms:.0} ms, of which {:.0} ms reading; slack {:?}, preference of large requests {:.2}",
-                profile.read_ms, profile.slack_ms, profile.large_preference
+                "{reason}: first event in {first_ms:.0} ms, of which {:.0} ms reading; slack {:?}, rank {}, wait bounded by {:.0} ms, refused by share {:.2}, preference of large requests {:.2}",
+                profile.read_ms,
+                profile.slack_ms,
+                profile.rank,
+                profile.allowance.slack_cap,
+                profile.allowance.refuse,
+                profile.large_preference
             );
             Err(mark_run(
                 Error::new(Code::Overloaded, detail).with_retry(retry_after),
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -103,6 +103,9 @@
     /// Requests that an entry was offered and has admitted lately, by kind.
     #[prost(message, repeated, tag = "25")]
     pub kinds: Vec<KindDoc>,
+    /// The same of all entries of the sender's zone, for entries of other zones.
+    #[prost(message, repeated, tag = "26")]
+    pub zone_kinds: Vec<KindDoc>,
 }
 
 impl Datagram {
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -73,6 +73,9 @@
     RequestTotal = "request.total", Counter, "requests", "code", "requests that ended at an entry, by result code, 0 for an answer";
     RequestTime = "request.time_ms", Histogram, "ms", "", "time from a request's head to the start of its answer at an entry";
     RequestRunning = "request.running", Gauge, "requests", "", "requests in progress at this process";
+    RequestRefused = "request.refused", Counter, "requests", "reason", "requests that the placement of an entry refused, by reason: late (none can serve it in time), share (its kind is served more than more urgent or worse served ones), limit (budget of repeated sends)";
+    AdmissionShare = "admission.share_percent", Gauge, "percent", "rank", "share of the requests of a rank that the entries of the zone served lately";
+    ReturnBacklog = "return.backlog", Gauge, "callers", "", "refused callers of an entry whose time to return has not come";
     AttemptTotal = "attempt.total", Counter, "attempts", "code", "attempts that ended at an agent, by result code, 0 for an answer";
     SendTotal = "send.total", Counter, "sends", "", "requests sent to upstreams by an entry on a prepared machine, repeated ones included";
     SendRepeated = "send.repeated", Counter, "sends", "", "sends beyond the first of a request, resumed streams included";
@@ -128,6 +131,20 @@
         counter.with_tag(metric.tag(), &number).send();
     }
 
+    /// Adds 1 to a counter under a tag other than a result code.
+    pub fn count_tagged(&self, metric: Metric, tag: &str) {
+        assert_eq!(metric.kind(), Kind::Counter);
+        let counter = self.client.count_with_tags(metric.name(), 1_u64);
+        counter.with_tag(metric.tag(), tag).send();
+    }
+
+    /// Sets a gauge to `value` under a tag.
+    pub fn set_tagged(&self, metric: Metric, tag: &str, value: u64) {
+        assert_eq!(metric.kind(), Kind::Gauge);
+        let gauge = self.client.gauge_with_tags(metric.name(), value);
+        gauge.with_tag(metric.tag(), tag).send();
+    }
+
     /// Sets a gauge to `value`.
     pub fn set(&self, metric: Metric, value: u64) {
         assert_eq!(metric.kind(), Kind::Gauge);
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -4,6 +4,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod refusals;
+pub mod returns;
 pub mod window;
 
 use crate::error::Run;
@@ -12,6 +13,7 @@
 pub use budget::Budget;
 pub use refusals::Refusal;
 pub use refusals::Refusals;
+pub use returns::Returns;
 pub use window::WindowBudget;
 
 /// Retries allowed per request, on average.
--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -8,6 +8,8 @@
 //! urgent rank, so shares become equal and the more urgent kinds lead slightly.
 
 use crate::prelude::*;
+use crate::retry::returns::PoolState;
+use crate::route::admit;
 use crate::route::size_fairness::SizeFairness;
 
 /// Half-life of the counts, in milliseconds. Bursts last four seconds or more, and a
@@ -30,12 +32,41 @@
 
 /// Lead in the served share of a rank over the next less urgent one. Callers count a
 /// more urgent kind that is served less as a fault, so equal shares need a margin.
-const RANK_LEAD: f64 = 0.02;
+const RANK_LEAD: f64 = 0.03;
 
 /// Excess of the served share over the bound at which every request of a kind is refused.
 /// With half of it, the shares oscillate, as counts of other entries arrive late.
 const EXCESS_BAND: f64 = 0.10;
 
+/// Share of the requests served below which the load of a pool lies above its capacity.
+const OVERLOAD_SHARE: f64 = 0.95;
+
+/// Share of the admitted requests that is kept for callers who return in time for their
+/// objective while the load lasts.
+const RETURN_SHARE: f64 = 0.1;
+
+/// Half-life of the counts that show whether a burst has ended, in milliseconds. An entry
+/// takes ten requests in this time.
+const RECENT_HALF_LIFE_MS: f64 = 500.0;
+
+/// Share of the latest requests at an entry above which the load of a pool lies below its
+/// capacity, also when more was refused shortly before.
+const CALM_SHARE: f64 = 0.95;
+
+/// Share of the slots of comparable upstreams that must be free for a caller that was
+/// refused before and will be late, while hardly anything is refused. It is not served
+/// after another refusal, and no newcomer needs the slot.
+const RETURN_FREE_SHARE: f64 = 0.08;
+
+/// Age at which the counts of another zone are ignored. An entry hears from those of
+/// another zone together several times a second.
+const ZONE_EXPIRY: Millis = Millis(3_000);
+
+/// Lead in the served share of another zone from which its unreported upstreams are used,
+/// and the further lead at which they are used for every request.
+const ZONE_LEAD: f64 = 0.03;
+const ZONE_BAND: f64 = 0.15;
+
 common! { key
 /// Requests of one route and rank to one pool.
 pub struct KindId {
@@ -80,13 +111,19 @@
 }
 
 /// What a kind of request may use of its pool.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Allowance {
     /// Bound of the time left until the objective, as far as it allows a wait, in
     /// milliseconds: the least objective of the more urgent kinds that are refused.
     pub slack_cap: f64,
     /// Probability with which a request is refused although it would be on time.
     pub refuse: f64,
+    /// Share of the slots of comparable upstreams that must be free before a request that
+    /// will be late is sent.
+    pub free_share: f64,
+    /// Other zones whose entries refuse less, with the probability at which upstreams there
+    /// are used that do not report to this entry.
+    pub open_zones: Vec<(String, f64)>,
 }
 
 impl Default for Allowance {
@@ -94,6 +131,8 @@
         Allowance {
             slack_cap: f64::INFINITY,
             refuse: 0.0,
+            free_share: admit::MIN_POOL_FREE_SHARE,
+            open_zones: Vec::new(),
         }
     }
 }
@@ -114,7 +153,7 @@
 }
 
 /// What the counts say about a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Standing {
     /// Smallest weight that counts as large on its route.
     pub large_weight: f64,
@@ -131,6 +170,10 @@
     decayed_at: Millis,
     /// Counts of other entries by name, and when they were received.
     peers: IndexMap<String, (Millis, Vec<(KindId, Counts)>)>,
+    /// Counts of other zones by name, and when they were received.
+    zones: IndexMap<String, (Millis, Vec<(KindId, Counts)>)>,
+    /// Counts of the last moments at this entry, by pool, and when they were decayed.
+    recent: IndexMap<u64, (Millis, Counts)>,
     /// Counts of sizes, by the hash of the route.
     sizes: IndexMap<u64, SizeFairness>,
 }
@@ -152,16 +195,25 @@
             counts.offered += 1.0;
             sizes.on_request(now, offer.weight, offer.usual);
         }
+        let (large_weight, large_preference) = (sizes.large_weight(), sizes.large_preference());
+        let mut allowance = if offer.returning {
+            self.returning_allowance(now, offer.kind.pool)
+        } else {
+            self.recent(now, offer.kind.pool).offered += 1.0;
+            self.allowance(now, offer.kind)
+        };
+        allowance.open_zones = self.open_zones(now, offer.kind.pool);
         Standing {
-            large_weight: sizes.large_weight(),
-            large_preference: sizes.large_preference(),
-            allowance: self.allowance(now, offer.kind),
+            large_weight,
+            large_preference,
+            allowance,
         }
     }
 
     /// Counts a request by its weight as sent to an upstream.
     pub fn on_admitted(&mut self, now: Millis, kind: KindId, weight: f64) {
         self.decay(now);
+        self.recent(now, kind.pool).admitted += 1.0;
         if let Some(counts) = self.own.get_mut(&kind) {
             counts.admitted += 1.0;
         }
@@ -170,6 +222,72 @@
         }
     }
 
+    /// Returns what a caller may use that was refused before.
+    fn returning_allowance(&mut self, now: Millis, pool: u64) -> Allowance {
+        let recent = *self.recent(now, pool);
+        let is_calm = recent.admitted >= CALM_SHARE * recent.offered;
+        Allowance {
+            free_share: if is_calm {
+                RETURN_FREE_SHARE
+            } else {
+                admit::MIN_POOL_FREE_SHARE
+            },
+            ..Allowance::default()
+        }
+    }
+
+    /// Returns the counts of the last moments for a pool, decayed.
+    fn recent(&mut self, now: Millis, pool: u64) -> &mut Counts {
+        if self.recent.len() >= MAX_KINDS && !self.recent.contains_key(&pool) {
+            self.recent.clear();
+        }
+        let (at, counts) = self.recent.entry(pool).or_default();
+        let factor = 0.5_f64.powf(now.since(*at).0 as f64 / RECENT_HALF_LIFE_MS);
+        counts.offered *= factor;
+        counts.admitted *= factor;
+        *at = now.max(*at);
+        counts
+    }
+
+    /// Returns the counts of all entries of the zone, for [`Admission::on_zone`] of the
+    /// entries of other zones.
+    pub fn zone_report(&self, now: Millis) -> Vec<(KindId, Counts)> {
+        let pools: indexmap::IndexSet<u64> = self.own.keys().map(|kind| kind.pool).collect();
+        let counts = pools.iter().flat_map(|pool| self.zone_counts(now, *pool));
+        counts.collect()
+    }
+
+    /// Records the counts of all entries of another zone.
+    pub fn on_zone(&mut self, now: Millis, zone: &str, mut counts: Vec<(KindId, Counts)>) {
+        counts.truncate(MAX_KINDS);
+        self.zones.retain(|_, (at, _)| now.since(*at) < ZONE_EXPIRY);
+        self.zones.insert(zone.to_string(), (now, counts));
+    }
+
+    /// Returns the zones that refuse fewer requests to a pool than this one, with the
+    /// probability at which unreported upstreams there are used.
+    fn open_zones(&self, now: Millis, pool: u64) -> Vec<(String, f64)> {
+        if self.zones.is_empty() {
+            return Vec::new();
+        }
+        let mut own = Counts::default();
+        let sums = self.zone_counts(now, pool);
+        sums.values().for_each(|counts| own.add(counts));
+        if own.share() >= OVERLOAD_SHARE {
+            return Vec::new();
+        }
+        let fresh = self.zones.iter();
+        let fresh = fresh.filter(|(_, (at, _))| now.since(*at) < ZONE_EXPIRY);
+        let leads = fresh.map(|(zone, (_, counts))| {
+            let mut all = Counts::default();
+            let counts = counts.iter().filter(|(kind, _)| kind.pool == pool);
+            counts.for_each(|(_, held)| all.add(held));
+            let lead = (all.share() - own.share() - ZONE_LEAD) / ZONE_BAND;
+            (zone.clone(), lead.clamp(0.0, 1.0))
+        });
+        leads.filter(|(_, chance)| *chance > 0.0).collect()
+    }
+
     /// Returns the counts of this entry, for [`Admission::on_peer`] of the others.
     pub fn counts(&self, now: Millis) -> Vec<(KindId, Counts)> {
         let factor = self.decay_factor(now);
@@ -233,6 +351,32 @@
         allowance
     }
 
+    /// Returns the served share of each rank, over all pools.
+    pub fn rank_shares(&self, now: Millis) -> IndexMap<u8, f64> {
+        let mut ranks: IndexMap<u8, Counts> = IndexMap::new();
+        let pools: indexmap::IndexSet<u64> = self.own.keys().map(|kind| kind.pool).collect();
+        for pool in pools {
+            for (kind, counts) in self.zone_counts(now, pool) {
+                ranks.entry(kind.rank).or_default().add(&counts);
+            }
+        }
+        ranks.iter().map(|(r, c)| (*r, c.share())).collect()
+    }
+
+    /// Returns the state of a pool, by which refused callers are told when to return.
+    pub fn pool_state(&self, now: Millis, pool: u64) -> PoolState {
+        let sums = self.zone_counts(now, pool);
+        let mut all = Counts::default();
+        sums.values().for_each(|counts| all.add(counts));
+        let fresh = self.peers.values();
+        let fresh = fresh.filter(|(at, _)| now.since(*at) < PEER_EXPIRY);
+        let rate = all.admitted * std::f64::consts::LN_2 / HALF_LIFE_MS * 1_000.0;
+        PoolState {
+            overloaded: all.share() < OVERLOAD_SHARE,
+            return_rate: RETURN_SHARE * rate / (1 + fresh.count()) as f64,
+        }
+    }
+
     fn decay(&mut self, now: Millis) {
         let factor = self.decay_factor(now);
         for counts in self.own.values_mut() {
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -34,6 +34,16 @@
 /// while large requests are preferred.
 const SIZE_FACTOR_RANGE: (f64, f64) = (0.90, 1.20);
 
+/// Returns why a request with this best prediction is refused, as metrics and logs name
+/// it.
+pub fn refusal_reason(profile: &RequestProfile, best: f64) -> &'static str {
+    if profile.allowance.refuse > 0.0 && is_timely(profile, best) {
+        "share"
+    } else {
+        "late"
+    }
+}
+
 /// Returns true when the best prediction is good enough to use a slot.
 ///
 /// A request that can be on time may wait for a slot. The wait allowed is shorter
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -467,7 +467,7 @@
             }
         }
         if found.is_empty() {
-            found = unreported;
+            found = std::mem::take(&mut unreported);
         }
         if found.is_empty() {
             // Every other upstream has failed lately. The one whose cooldown
@@ -483,6 +483,11 @@
         }
         self.add_unseen(now, profile, work_ms, &mut found);
         let best = least_predicted(&found);
+        if !profile.allowance.open_zones.is_empty() && !admit::is_timely(profile, best) {
+            if let Some(choice) = self.choose_unreported(now, profile, &unreported) {
+                return choice;
+            }
+        }
         let refuse = profile.allowance.refuse;
         let exceeds_share = refuse > 0.0 && self.rng.f64() < refuse;
         if exceeds_share || !admit::is_timely(profile, best) {
@@ -490,7 +495,7 @@
             // that would stay empty. Free slots of slow upstreams do not show that the
             // pool has spare capacity.
             found.retain(|c| c.first_ms <= admit::COMPARABLE_RATIO * best);
-            let has_capacity = self.free_share(now, &found) >= admit::MIN_POOL_FREE_SHARE;
+            let has_capacity = self.free_share(now, &found) >= profile.allowance.free_share;
             found.retain(|c| {
                 let target = self.targets.get(c.target);
                 let has_spare_slots = target.is_some_and(|t| t.has_spare_slots(now));
@@ -512,6 +517,41 @@
         }
     }
 
+    /// Chooses an unreported upstream of a zone that refuses less than the own one, if the
+    /// request can be in time there.
+    ///
+    /// How many calls such an upstream has is not known. Its slots are taken as full and its
+    /// queue as empty, as in a zone that refuses hardly anything. When they get too many
+    /// requests, the entries of that zone refuse more and this one turns to it less often.
+    fn choose_unreported(
+        &mut self,
+        now: Millis,
+        profile: &RequestProfile,
+        unreported: &[Candidate<Target>],
+    ) -> Option<Choice> {
+        let zones = &profile.allowance.open_zones;
+        let (zone, chance) = zones.get(self.rng.usize(0..zones.len().max(1)))?;
+        if self.rng.f64() >= *chance {
+            return None;
+        }
+        let candidates = unreported.iter().filter_map(|c| {
+            let target = self.targets.get(c.target)?;
+            let unseen = target.free_slots(now).max(0.0);
+            (target.registration.zone == *zone).then(|| Candidate {
+                target: c.target,
+                first_ms: target.predict_first(now, profile, 0.0, unseen),
+                unseen,
+                added: 0.0,
+            })
+        });
+        let candidates: Vec<Candidate<Target>> = candidates.collect();
+        let index = spread::draw(&candidates, &mut self.rng)?;
+        let Candidate {
+            target, first_ms, ..
+        } = *candidates.get(index)?;
+        admit::is_timely(profile, first_ms).then_some(Choice::Send { target, first_ms })
+    }
+
     /// Adds the calls that other entries of the zone are expected to have started
     /// and ended at the candidates since they reported.
     ///
