--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 
 use crate::bench::place::load::Arrival;
-use crate::bench::place::load::KINDS;
+use crate::bench::place::load::Kind;
 use crate::bench::place::load::Pattern;
 use crate::bench::place::runner::AnswerEvent;
 use crate::bench::place::runner::Runner;
@@ -21,6 +21,12 @@
 use crate::member::registry::Holding;
 use crate::member::registry::Registration;
 use crate::prelude::*;
+use crate::retry::Returns;
+use crate::retry::returns;
+use crate::retry::returns::Refused;
+use crate::route::admission::Admission;
+use crate::route::admission::KindId;
+use crate::route::admission::Offer;
 use crate::route::engine::Engine;
 use crate::route::engine::Model;
 use crate::route::engine::Size;
@@ -30,7 +36,6 @@
 use crate::route::profile::RequestProfile;
 use crate::route::recovery::Outcome;
 use crate::route::regions::Regions;
-use crate::route::size_fairness::SizeFairness;
 use crate::route::target::RunnerStatus;
 use crate::route::target::Target;
 use crate::table::routing::Limits;
@@ -49,8 +54,15 @@
 /// Longest pause between events with which an answer is on time, in milliseconds.
 const MAX_PAUSE_MS: f64 = 400.0;
 
-/// Least time after which a refused caller retries, in milliseconds, as entries advise it.
-const RETRY_MS: f64 = 120.0;
+/// Interval at which entries receive each other's counts of admitted requests, in
+/// milliseconds.
+const COUNTS_INTERVAL_MS: f64 = 250.0;
+
+/// Interval at which a runner reports to entries of other zones, in milliseconds.
+const REMOTE_INTERVAL_MS: f64 = 500.0;
+
+/// Entries of each other zone to which a runner reports.
+const REMOTE_REPORTS: usize = 4;
 
 /// Time since arrival after which a caller leaves its request, in milliseconds.
 const CALLER_WAIT_MS: f64 = 6_000.0;
@@ -118,6 +130,31 @@
     /// Share answered of the tenth of a kind with the greatest worth, relative to the share
     /// answered of the whole kind; the least among the kinds of request.
     pub largest: f64,
+    /// Figures of each kind of request.
+    pub kinds: Vec<GroupSummary>,
+    /// Figures of the callers of each zone.
+    pub zones: Vec<GroupSummary>,
+    /// Share of the callers that came back after a refusal and were refused again.
+    pub refused_again: f64,
+}
+
+/// Results of the requests of one kind or zone.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GroupSummary {
+    /// Share of the requests that was answered.
+    pub served: f64,
+    /// Worth earned, relative to the worth of the requests.
+    pub credit: f64,
+}
+
+impl GroupSummary {
+    fn json(groups: &[GroupSummary]) -> Value {
+        let round = |v: f64| (v * 1_000.0).round() / 1_000.0;
+        let figures = |f: fn(&GroupSummary) -> f64| -> Vec<f64> {
+            groups.iter().map(|g| round(f(g))).collect()
+        };
+        json!({"served": figures(|g| g.served), "credit": figures(|g| g.credit)})
+    }
 }
 
 impl Summary {
@@ -130,6 +167,9 @@
             "late": round(self.late), "refused": round(self.refused),
             "failed": round(self.failed), "wasted": round(self.wasted),
             "by_size_largest": round(self.largest),
+            "by_kind": GroupSummary::json(&self.kinds),
+            "by_zone": GroupSummary::json(&self.zones),
+            "refused_again": round(self.refused_again),
         })
     }
 }
@@ -159,10 +199,29 @@
     }
 }
 
+/// Figures of the engines that serve kinds of several ranks.
+pub fn ranked_engine() -> Engine {
+    Engine {
+        slots: 12,
+        step_ms: 7.4,
+        request_ms: 0.0387,
+        context_ms: 0.0203,
+        read_rate: 31.9,
+        stride: 7.0,
+        usual: Size {
+            prompt: 909.0,
+            output: 111.0,
+        },
+        ..engine()
+    }
+}
+
 /// One request and what has become of it; times are in milliseconds.
 #[derive(Clone, Debug)]
 struct Request {
     arrival: Arrival,
+    /// Zone of its caller.
+    zone: usize,
     entry: usize,
     /// Upstream that the placer chose; `None` under the baselines.
     target: Option<Key<Target>>,
@@ -195,8 +254,15 @@
     to_send: BTreeMap<(u64, usize), ()>,
     /// Open calls by entry and runner, which the baselines place by.
     open_calls: Vec<Vec<usize>>,
-    /// Fairness between sizes, by entry and kind of request.
-    sizes: Vec<[SizeFairness; KINDS.len()]>,
+    pattern: Pattern,
+    /// When runners last reported to entries of other zones, in milliseconds.
+    remote_at: f64,
+    /// Kinds of request.
+    kinds: &'static [Kind; 3],
+    /// Requests offered and admitted, by entry.
+    admissions: Vec<Admission>,
+    /// Callers told to return, by entry.
+    returns: Vec<Returns>,
     rng: Rng,
     /// Events of answers whose request had ended.
     wasted_events: f64,
@@ -213,9 +279,12 @@
 /// Runs a load pattern under a policy before this fleet.
 pub fn run_fleet(fleet: Fleet, pattern: Pattern, policy: Policy, seed: u64) -> Summary {
     let mut rng = Rng::with_seed(seed);
-    let engine = engine();
+    let engine = match pattern.is_ranked() {
+        true => ranked_engine(),
+        false => engine(),
+    };
     let arrivals = load::arrivals(pattern, &engine, fleet.runners, &mut rng, RUN_MS);
-    let mut simulation = Simulation::new(fleet, policy, engine, arrivals, rng);
+    let mut simulation = Simulation::new(fleet, policy, pattern, engine, arrivals, rng);
     simulation.simulate(pattern);
     simulation.summary()
 }
@@ -225,6 +294,16 @@
     format!("u{index}")
 }
 
+/// Name of a zone.
+fn zone_name(index: usize) -> String {
+    format!("z{index}")
+}
+
+/// Returns true when a runner reports to an entry of another zone that has `count` entries.
+fn is_reader(entry: usize, runner: usize, count: usize) -> bool {
+    (entry + count - runner % count.max(1)) % count.max(1) < REMOTE_REPORTS
+}
+
 /// Microseconds of a time in milliseconds, as a key of the requests to send.
 fn micros(at: f64) -> u64 {
     (at * 1_000.0) as u64
@@ -240,6 +319,7 @@
     fn new(
         fleet: Fleet,
         policy: Policy,
+        pattern: Pattern,
         engine: Engine,
         arrivals: Vec<Arrival>,
         mut rng: Rng,
@@ -261,7 +341,7 @@
             id: upstream_id(index),
             pool: "p".to_string(),
             addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
-            zone: "z".to_string(),
+            zone: zone_name(pattern.zone_of_runner(index)),
             slots: engine.slots,
             draining: false,
             started: 1,
@@ -274,14 +354,17 @@
         };
         let members: Vec<Registration> = (0..runner_count).map(registration).collect();
         let entries = (0..entry_count).map(|index| {
-            let mut placer = Placer::new("z", index as u64);
+            let zone = zone_name(index % pattern.zones());
+            let mut placer = Placer::new(&zone, index as u64);
             placer.set_members(&members, &routing);
             placer
         });
         let requests: Vec<Request> = arrivals
             .into_iter()
-            .map(|arrival| Request {
-                entry: rng.usize(0..entry_count),
+            .map(|arrival| (arrival, rng.usize(0..entry_count)))
+            .map(|(arrival, entry)| Request {
+                entry,
+                zone: entry % pattern.zones(),
                 arrival,
                 target: None,
                 call: None,
@@ -304,7 +387,11 @@
                 .map(|(i, r)| ((micros(r.arrival.at), i), ()))
                 .collect(),
             open_calls: vec![vec![0; runner_count]; entry_count],
-            sizes: vec![Default::default(); entry_count],
+            pattern,
+            kinds: pattern.kinds(),
+            remote_at: 0.0,
+            admissions: vec![Admission::default(); entry_count],
+            returns: vec![Returns::default(); entry_count],
             requests,
             engine,
             rng,
@@ -319,6 +406,7 @@
         let (mut exchanged_at, mut fault_at) = (0.0, 0.0);
         let interval = self.fleet.exchange_ms / self.fleet.phases as f64;
         let mut phase = 0;
+        let mut counts_at = 0.0;
         while now < RUN_MS + CALLER_WAIT_MS {
             let pass_end = self.runners.iter().filter_map(Runner::pass_end);
             let pass_end = pass_end.fold(f64::INFINITY, f64::min);
@@ -337,6 +425,10 @@
                 self.exchange_status(pattern, phase, now);
                 phase = (phase + 1) % self.fleet.phases;
             }
+            if now >= counts_at + COUNTS_INTERVAL_MS {
+                counts_at = now;
+                self.exchange_counts(now);
+            }
             if now >= fault_at + FAULT_INTERVAL_MS {
                 fault_at = now;
                 self.apply_faults(pattern, now);
@@ -364,6 +456,11 @@
     fn exchange_status(&mut self, pattern: Pattern, phase: usize, now: f64) {
         let phases = self.fleet.phases;
         let measured_at = millis(now);
+        let zones = pattern.zones();
+        let is_remote_due = now >= self.remote_at + REMOTE_INTERVAL_MS;
+        if is_remote_due {
+            self.remote_at = now;
+        }
         let has_reloads = pattern == Pattern::Reload && now >= load::NAMED_MS;
         for (index, runner) in self.runners.iter_mut().enumerate() {
             runner.tick(now);
@@ -381,8 +478,13 @@
                     .then(|| millis(load::load_order_at(index)))
                     .filter(|at| *at > measured_at),
             };
-            for placer in &mut self.entries {
-                if !runner.down && index % phases == phase {
+            for (entry, placer) in self.entries.iter_mut().enumerate() {
+                let is_due = if entry % zones == pattern.zone_of_runner(index) {
+                    index % phases == phase
+                } else {
+                    is_remote_due && is_reader(entry / zones, index, self.fleet.entries / zones)
+                };
+                if !runner.down && is_due {
                     placer.on_status(&upstream_id(index), status.clone());
                 }
             }
@@ -390,13 +492,46 @@
         let loads: Vec<_> = self.entries.iter().map(Placer::loads).collect();
         for (index, placer) in self.entries.iter_mut().enumerate() {
             for (other, load) in loads.iter().enumerate() {
-                if other != index && other % phases == phase {
+                let is_near = other % zones == index % zones;
+                if other != index && is_near && other / zones % phases == phase {
                     placer.on_loads(measured_at, &other.to_string(), load);
                 }
             }
         }
     }
 
+    /// Gives each entry the counts of all others of its zone.
+    fn exchange_counts(&mut self, now: f64) {
+        let zones = self.pattern.zones();
+        let reports: Vec<_> = self.admissions[..zones]
+            .iter()
+            .map(|a| a.zone_report(millis(now)))
+            .collect();
+        let at = millis(now);
+        let counts: Vec<_> = self.admissions.iter().map(|a| a.counts(at)).collect();
+        for (index, admission) in self.admissions.iter_mut().enumerate() {
+            for (zone, report) in reports.iter().enumerate() {
+                if zone != index % zones {
+                    admission.on_zone(at, &zone_name(zone), report.clone());
+                }
+            }
+            for (other, counts) in counts.iter().enumerate() {
+                if other != index && other % zones == index % zones {
+                    admission.on_peer(at, &other.to_string(), counts.clone());
+                }
+            }
+        }
+    }
+
+    /// Kind of a request as entries count it.
+    fn kind_id(&self, kind: usize) -> KindId {
+        KindId {
+            route: kind as u64,
+            pool: 0,
+            rank: self.kinds[kind].rank,
+        }
+    }
+
     /// Changes the pace of runners at random and applies the faults of the pattern.
     fn apply_faults(&mut self, pattern: Pattern, now: f64) {
         let mut lost = Vec::new();
@@ -438,24 +573,33 @@
         let spent = now - request.arrival.at;
         let read_ms = self.engine.read_ms(request.arrival.estimate.prompt);
         let weight = request.arrival.estimate.weight();
-        let sizes = &mut self.sizes[request.entry][request.arrival.kind];
-        if request.refusals == 0 {
-            sizes.on_request(millis(now), weight, self.engine.usual.weight());
-        }
-        let slack = KINDS[request.arrival.kind].objective - spent - 15.0;
+        let Kind {
+            objective, rank, ..
+        } = self.kinds[request.arrival.kind];
+        let offer = Offer {
+            kind: self.kind_id(request.arrival.kind),
+            objective,
+            weight,
+            usual: self.engine.usual.weight(),
+            returning: request.refusals > 0,
+        };
+        let standing = self.admissions[request.entry].on_offered(millis(now), &offer);
+        let slack = objective - spent - 15.0;
         RequestProfile {
             pool: "p".to_string(),
             model: Some("m".to_string()),
             regions: Regions::Any,
             min_version: 0,
+            rank,
             size: request.arrival.estimate,
             slack_ms: (slack > 0.0).then_some(slack),
             max_pause: Some(MAX_PAUSE_MS),
             time_left: CALLER_WAIT_MS - spent,
             read_ms,
             value_density: self.engine.value_density(request.arrival.estimate),
-            relative_size: weight / sizes.large_weight(),
-            large_preference: sizes.large_preference(),
+            relative_size: weight / standing.large_weight,
+            large_preference: standing.large_preference,
+            allowance: standing.allowance,
         }
     }
 
@@ -465,6 +609,7 @@
         let profile = self.profile(now, &request);
         let at = millis(now);
         let entry = request.entry;
+        let mut after = Millis(0);
         let chosen = match self.policy {
             Policy::Own => match self.entries[entry].choose(at, &profile, &[]) {
                 Choice::Send { target, first_ms } => {
@@ -473,12 +618,17 @@
                         .map(|t| t.registration.id.clone());
                     let runner = name.and_then(|n| n[1..].parse().ok()).unwrap_or(0);
                     let call = self.entries[entry].on_sent(at, target, &profile, first_ms);
-                    self.sizes[entry][request.arrival.kind].on_admitted(profile.size.weight());
+                    let kind = self.kind_id(request.arrival.kind);
+                    self.admissions[entry].on_admitted(at, kind, profile.size.weight());
                     self.requests[index].target = Some(target);
                     self.requests[index].call = Some(call);
                     Some(runner)
                 }
-                _ => None,
+                Choice::Overloaded { retry_after, .. } => {
+                    after = retry_after;
+                    None
+                }
+                Choice::NoUpstream => None,
             },
             Policy::RandomTwo => {
                 let a = self.rng.usize(0..self.fleet.runners);
@@ -493,7 +643,7 @@
             }
         };
         let Some(runner) = chosen else {
-            self.on_refused(now, index);
+            self.on_refused(now, index, after);
             return;
         };
         self.open_calls[entry][runner] += 1;
@@ -501,25 +651,39 @@
         let sent = RunnerRequest {
             id: index,
             size: request.arrival.size,
-            urgency: if profile.slack_ms.is_some() { 2 } else { 7 },
+            urgency: profile.rank + if profile.slack_ms.is_some() { 1 } else { 6 },
         };
         if !self.runners[runner].accept(now, sent) {
             self.end_call(now, index, Outcome::Busy);
-            self.on_refused(now, index);
+            self.on_refused(now, index, after);
         }
     }
 
-    /// Handles a refusal: the caller retries once, at a random entry, after one to two times
-    /// `RETRY_MS`, which is within a third of `CALLER_WAIT_MS`.
-    fn on_refused(&mut self, now: f64, index: usize) {
+    /// Handles a refusal: the caller retries once, at a random entry, when its entry tells
+    /// it. `after` is the time after which the placement expects a slot.
+    fn on_refused(&mut self, now: f64, index: usize, after: Millis) {
+        let at = millis(now);
         let request = &mut self.requests[index];
         request.refusals += 1;
         if request.refusals > 1 {
             request.is_over = true;
             return;
         }
-        let retry_at = now + RETRY_MS * (1.0 + self.rng.f64());
-        request.entry = self.rng.usize(0..self.fleet.entries);
+        let objective = self.kinds[request.arrival.kind].objective;
+        let refused = Refused {
+            after,
+            patience: Some(CALLER_WAIT_MS - (now - request.arrival.at)),
+            timely: returns::timely_return(objective - (now - request.arrival.at)),
+            pool: self.admissions[request.entry].pool_state(at, 0),
+        };
+        let retry = self.returns[request.entry].plan(at, &refused, &mut self.rng);
+        let zones = self.pattern.zones();
+        let count = self.fleet.entries / zones;
+        request.entry = match zones {
+            1 => self.rng.usize(0..self.fleet.entries),
+            _ => request.zone + zones * self.rng.usize(0..count),
+        };
+        let retry_at = now + retry.0 as f64;
         self.to_send.insert((micros(retry_at), index), ());
     }
 
@@ -573,34 +737,64 @@
         let count = self.requests.len().max(1) as f64;
         let (mut earned, mut offered) = (0.0, 0.0);
         for request in &self.requests {
-            let Arrival {
-                at, worth, kind, ..
-            } = request.arrival;
-            offered += worth;
-            if !request.is_answered {
-                if request.first_at.is_some() {
-                    figures.failed += 1.0 / count;
-                } else {
-                    figures.refused += 1.0 / count;
-                }
-                continue;
-            }
-            let first = request.first_at.unwrap_or(f64::INFINITY) - at;
-            if first <= KINDS[kind].objective && request.longest_pause <= MAX_PAUSE_MS {
-                figures.on_time += 1.0 / count;
-                earned += worth;
-            } else {
-                figures.late += 1.0 / count;
-                earned += LATE_SHARE * worth;
-            }
+            let credit = self.credit(request);
+            offered += request.arrival.worth;
+            earned += credit * request.arrival.worth;
+            let share = match (request.is_answered, request.first_at) {
+                (true, _) if credit >= 1.0 => &mut figures.on_time,
+                (true, _) => &mut figures.late,
+                (false, Some(_)) => &mut figures.failed,
+                (false, None) => &mut figures.refused,
+            };
+            *share += 1.0 / count;
         }
         figures.credit = earned / offered.max(1e-9);
         figures.wasted = self.wasted_events / self.event_count.max(1.0);
-        let largest = (0..KINDS.len()).map(|kind| self.largest_share(kind));
+        figures.kinds = (0..self.kinds.len())
+            .map(|kind| self.group(|r| r.arrival.kind == kind))
+            .collect();
+        let zones = self.pattern.zones();
+        figures.zones = (0..zones)
+            .map(|zone| self.group(|r| r.zone == zone))
+            .collect();
+        let returned = self.requests.iter().filter(|r| r.refusals > 0);
+        let again = self.requests.iter().filter(|r| r.refusals > 1);
+        figures.refused_again = again.count() as f64 / (returned.count() as f64).max(1.0);
+        let largest = (0..self.kinds.len()).map(|kind| self.largest_share(kind));
         figures.largest = largest.fold(f64::INFINITY, f64::min);
         figures
     }
 
+    /// Share of its worth that a request has earned.
+    fn credit(&self, request: &Request) -> f64 {
+        let Arrival { at, kind, .. } = request.arrival;
+        let first = request.first_at.unwrap_or(f64::INFINITY) - at;
+        match request.is_answered {
+            false => 0.0,
+            true if first <= self.kinds[kind].objective
+                && request.longest_pause <= MAX_PAUSE_MS =>
+            {
+                1.0
+            }
+            true => LATE_SHARE,
+        }
+    }
+
+    /// Results of some of the requests.
+    fn group(&self, belongs: impl Fn(&Request) -> bool) -> GroupSummary {
+        let (mut count, mut served, mut offered, mut earned) = (0.0, 0.0, 0.0, 0.0);
+        for request in self.requests.iter().filter(|r| belongs(r)) {
+            count += 1.0;
+            served += f64::from(u8::from(request.is_answered));
+            offered += request.arrival.worth;
+            earned += self.credit(request) * request.arrival.worth;
+        }
+        GroupSummary {
+            served: served / f64::max(count, 1.0),
+            credit: earned / f64::max(offered, 1e-9),
+        }
+    }
+
     /// Share answered of the tenth of a kind with the greatest worth, relative to the whole kind.
     fn largest_share(&self, kind: usize) -> f64 {
         let mut requests: Vec<&Request> = self.requests.iter().collect();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -48,14 +48,19 @@
 use crate::prelude::*;
 use crate::retry::Refusal;
 use crate::retry::Refusals;
+use crate::retry::Returns;
 use crate::retry::WindowBudget;
+use crate::retry::returns;
+use crate::retry::returns::PoolState;
+use crate::retry::returns::Refused;
+use crate::route::admission::Admission;
+use crate::route::admission::Offer;
+use crate::route::admission::Standing;
 use crate::route::placement::Call;
 use crate::route::placement::Placer;
 use crate::route::profile::RequestProfile;
 use crate::route::recovery::Outcome;
-use crate::route::size_fairness::SizeFairness;
 use crate::route::target::Target;
-use crate::table::routing::Route;
 use crate::util;
 use crate::util::lock;
 
@@ -84,22 +89,9 @@
 /// File descriptors that are left for files and listeners.
 const RESERVED_DESCRIPTORS: usize = 200;
 
-/// Number of routes with counts of sizes at which all counts are dropped, so that
-/// removed routes do not fill the memory.
-const MAX_ROUTES: usize = 4_096;
-
 /// Time before the expiry of a version from which answers from it are logged.
 const EXPIRY_NOTICE: Millis = Millis(1_000);
 
-/// Longest time until a refused caller retries, as a part of its patience.
-const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
-
-/// Least time after which a refused caller retries. Nine runners free a place
-/// every dozen milliseconds, and a caller that retries soon can still be on
-/// time: in `bench place`, 350 ms earns 0.04 less credit while a third of the
-/// runners is lost, and no more under any load pattern.
-const MIN_RETRY: Millis = Millis(120);
-
 /// Memory for all answers that are read whole, in bytes. The processes of a
 /// machine may use 160 MB together.
 const MAX_ANSWER_MEMORY: usize = 32 << 20;
@@ -118,12 +110,27 @@
     clients: Mutex<IndexMap<SocketAddr, Arc<Client>>>,
     /// Refused requests whose callers may send them again.
     pub(super) refusals: Mutex<Refusals>,
-    /// Counts of request sizes, by route.
-    sizes: Mutex<IndexMap<String, SizeFairness>>,
+    /// Requests offered and admitted, here and at the other entries of the zone.
+    pub(super) admission: Mutex<Admission>,
+    /// Callers that were told when to return.
+    returns: Mutex<Returns>,
     /// Memory for answers that are read whole.
     pub(super) answer_memory: Arc<MemoryBudget>,
 }
 
+/// What is known of the caller of a request that is being sent.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    /// Hash of the name of the pool.
+    pool: u64,
+    /// Time left until the objective when the request arrived, in milliseconds.
+    slack: f64,
+    /// Time left until the caller gives up when the request arrived, in milliseconds.
+    time_left: f64,
+    /// When the request arrived.
+    since: Millis,
+}
+
 /// A call to an upstream that the placement counts as in progress until this is
 /// dropped.
 pub struct CallGuard {
@@ -191,7 +198,8 @@
             crashes: CrashGuard::new(node.clone()),
             clients: Mutex::default(),
             refusals: Mutex::default(),
-            sizes: Mutex::default(),
+            admission: Mutex::default(),
+            returns: Mutex::default(),
             answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
@@ -308,37 +316,15 @@
         lock(&self.refusals).record(now, refused);
     }
 
-    /// Counts a request of a route by its weight, unless it is a later attempt.
-    /// Returns the least weight of the route's large requests, and how much those
-    /// are preferred, from 0 to 1.
-    pub fn count_offered(
-        &self,
-        route: &Route,
-        time_lost: Millis,
-        weight: f64,
-        usual: f64,
-    ) -> (f64, f64) {
-        let now = self.node.now();
-        let mut sizes = lock(&self.sizes);
-        if sizes.len() >= MAX_ROUTES {
-            sizes.clear();
-        }
-        // `IndexMap::entry` would copy the name for each request.
-        if !sizes.contains_key(&route.name) {
-            sizes.insert(route.name.clone(), SizeFairness::default());
-        }
-        let held = &mut sizes[&route.name];
-        if time_lost == Millis(0) {
-            held.on_request(now, weight, usual);
-        }
-        (held.large_weight(), held.large_preference())
+    /// Counts a request, unless it is a later attempt, and returns its standing.
+    pub fn count_offered(&self, offer: &Offer) -> Standing {
+        lock(&self.admission).on_offered(self.node.now(), offer)
     }
 
     /// Counts a request by its weight as sent to an upstream.
     pub fn count_placed(&self, inbound: &InboundRequest) {
-        if let Some(sizes) = lock(&self.sizes).get_mut(&inbound.route.name) {
-            sizes.on_admitted(inbound.profile.size.weight());
-        }
+        let weight = inbound.profile.size.weight();
+        lock(&self.admission).on_admitted(self.node.now(), inbound.kind, weight);
     }
 
     /// Counts a request for the budget of repeated sends.
@@ -504,7 +490,7 @@
             Ok(inbound) => self.clone().send(inbound).await,
             Err(error) => {
                 self.record_refusal(&id, &error);
-                failure_response(&id, &error, None)
+                failure_response(&id, &error, self.plan_return(&error, None))
             }
         };
         if is_chunked || self.node.is_stopping() {
@@ -519,17 +505,43 @@
         let now = self.node.now();
         if let Some(error) = self.refuse_late(now, &inbound) {
             self.record_refusal(&inbound.call.id, &error);
-            return failure_response(&inbound.call.id, &error, None);
+            let retry = self.plan_return(&error, None);
+            return failure_response(&inbound.call.id, &error, retry);
         }
         self.count_request(now, &inbound.profile.pool);
         let id = inbound.call.id.clone();
-        let patience = inbound.profile.time_left;
+        let waiting = Waiting {
+            pool: inbound.kind.pool,
+            slack: inbound.profile.slack_ms.unwrap_or(0.0),
+            time_left: inbound.profile.time_left,
+            since: inbound.arrived,
+        };
         match send::serve(&self, inbound).await {
             Ok(response) => response,
-            Err(error) => failure_response(&id, &error, Some(patience)),
+            Err(error) => {
+                let retry = self.plan_return(&error, Some(waiting));
+                failure_response(&id, &error, retry)
+            }
         }
     }
 
+    /// Returns the time after which the caller of a refused request should retry.
+    fn plan_return(&self, error: &Error, waiting: Option<Waiting>) -> Option<Millis> {
+        let after = error.retry?;
+        let now = self.node.now();
+        let spent = waiting.map_or(0.0, |w| now.since(w.since).0 as f64);
+        let refused = Refused {
+            after,
+            patience: waiting.map(|w| w.time_left - spent),
+            timely: returns::timely_return(waiting.map_or(0.0, |w| w.slack - spent)),
+            pool: waiting.map_or_else(PoolState::default, |w| {
+                lock(&self.admission).pool_state(now, w.pool)
+            }),
+        };
+        let mut rng = fastrand::Rng::new();
+        Some(lock(&self.returns).plan(now, &refused, &mut rng))
+    }
+
     /// Returns when a request must have its answer: by its deadline, and before this process
     /// ends.
     pub fn answer_by(&self, inbound: &InboundRequest) -> Millis {
@@ -700,6 +712,13 @@
         metrics.set(Metric::UpstreamLimited, limited as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
+        let shares = lock(&self.admission).rank_shares(now);
+        for (rank, share) in shares {
+            let percent = (share * 100.0).round() as u64;
+            metrics.set_tagged(Metric::AdmissionShare, &rank.to_string(), percent);
+        }
+        let backlog = lock(&self.returns).backlog(now);
+        metrics.set(Metric::ReturnBacklog, backlog as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
         metrics.text()
     }
@@ -759,12 +778,12 @@
     response
 }
 
-/// Returns the response for an error of the entry; `patience` is the caller's, in
-/// milliseconds.
+/// Returns the response for an error of the entry; `retry` is the time after which the
+/// caller should retry.
 ///
 /// Callers take 408, 421, 429 and 503 as a promise that the request was not run, so
 /// these become 502 unless that is certain.
-fn failure_response(id: &str, error: &Error, patience: Option<f64>) -> Response<BoxBody> {
+fn failure_response(id: &str, error: &Error, retry: Option<Millis>) -> Response<BoxBody> {
     // Callers here take no other status for a request that was not run.
     let status = match error.code {
         Code::RequestBlocked => 503,
@@ -777,10 +796,7 @@
     } else {
         status
     };
-    let retry = error
-        .retry
-        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-    let retry = retry.map(|after| retry_after(after, patience));
+    let retry = retry.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
     let mut response = Response::new(body::full(format!("{error}\n")));
     *response.status_mut() = status;
     *response.headers_mut() = headers::failure_headers(id, retry);
@@ -791,12 +807,3 @@
     }
     response
 }
-
-/// Returns the time until a refused caller should retry, in at most a part of its
-/// patience. It is drawn at random, so that callers that were refused together do
-/// not return together.
-fn retry_after(after: Millis, patience: Option<f64>) -> Millis {
-    let least = after.max(MIN_RETRY).0 as f64;
-    let most = patience.map_or(f64::INFINITY, |p| p * MAX_RETRY_SHARE);
-    Millis((least * (1.0 + fastrand::f64())).min(most) as u64)
-}
