route: Limit the requests to cold upstreams

Cause: an upstream that has just started, or a zone that returns, looks empty to 45 to 52 entries at the same moment, and each sends to it on its own. Change: route/cold has the state of an upstream from its registration, answers and agent, and places at it that the entries share by names, in the order that route/rate_share uses for named limits. A request holds its place until one second after its first event, so a delay of a link counts. The prediction learns the slowness of cold upstreams; the last places are for urgent and cheap requests. Pools without cold_s or cold_per_s are served as before.

--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -254,6 +254,8 @@
             max_connections: u32::MAX,
             engine: Some(Arc::new(engine.clone())),
             origin: None,
+            cold_span: Millis(0),
+            cold_rate: None,
         };
         let routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
         let registration = |index: usize| Registration {
@@ -265,6 +267,7 @@
             draining: false,
             started: 1,
             sequence: 0,
+            cold_left: Millis(0),
             holdings: vec![Holding {
                 model: "m".to_string(),
                 version: 1,
@@ -446,6 +449,7 @@
             pool: "p".to_string(),
             model: Some("m".to_string()),
             min_version: 0,
+            rank: 0,
             size: request.arrival.estimate,
             slack_ms: (slack > 0.0).then_some(slack),
             max_pause: Some(MAX_PAUSE_MS),
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -95,9 +95,22 @@
             age: now.since(at).0 as u32,
             complete: self.updater.complete_version(),
             turn: self.updater.next_load().map(|at| at.since(now).0 as u32),
+            cold: self.cold_left(now, report.started),
         });
     }
 
+    /// Returns the time for which a runner that started at `started` is still cold, in
+    /// milliseconds; none when it is not, or does not say when it started. It is on the
+    /// same VM, so its clock is the own one.
+    fn cold_left(&self, now: Millis, started: u64) -> Option<u32> {
+        let cluster = self.node.cluster();
+        let pool = cluster.routing()?.pool(&self.node.settings().pool)?;
+        let left = Millis(started).plus(pool.cold_span).since(now);
+        // A start in the future shows that the clock was set back.
+        let left = left.min(pool.cold_span);
+        (started > 0 && left > Millis(0)).then_some(left.0 as u32)
+    }
+
     /// Notes which version another agent can serve.
     fn receive(&self, now: Millis, datagram: &Datagram) {
         if let Some(status) = &datagram.status {
--- a/src/direct/decision_log.rs
+++ b/src/direct/decision_log.rs
@@ -160,6 +160,14 @@
         }
     }
 
+    /// Logs that an upstream has turned cold. `source` is its registration, an answer or
+    /// its agent.
+    pub fn cold(&self, now: Millis, upstream: &str, source: &'static str) {
+        if self.admits(now, Kind::Belief) {
+            info!(self.logger, "member: upstream is cold"; "upstream" => upstream, "source" => source);
+        }
+    }
+
     /// Logs a change of what is known, with the revision of the replica and the
     /// `source`: `store`, `time` or the peer that it came from.
     pub fn change(&self, now: Millis, revision: u64, change: &Change, source: &str) {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -156,6 +156,10 @@
         let rate = reply.rate_limit;
         let upstream = self.entry.placer().on_rate_limit(now, self.call, rate);
         upstream.inspect(|id| log.rate_limit(now, id, rate, "answer"));
+        if let Some(left) = reply.cold_left {
+            let upstream = self.entry.placer().on_cold_answer(now, self.call, left);
+            upstream.inspect(|id| log.cold(now, id, "answer"));
+        }
         if let Some(span) = reply.back_off {
             let upstream = self.entry.placer().on_back_off(now, self.call, span);
             upstream.inspect(|id| log.back_off(now, id, span));
@@ -194,8 +198,12 @@
             answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
+        // Other entries are added with the first datagrams.
+        let own = (entry.node.settings().name.clone(), zone);
+        let (now, name) = (entry.node.now(), own.0.clone());
+        entry.placer().set_sharers(now, &name, [own]);
         let held = Arc::downgrade(&entry);
-        entry.node.on_change(move |_, cluster| {
+        entry.node.on_change(move |now, cluster| {
             let (Some(entry), Some(routing)) = (held.upgrade(), cluster.routing()) else {
                 return;
             };
@@ -203,6 +211,12 @@
             let mut placer = entry.placer();
             placer.set_members(cluster.members.values(), routing);
             placer.set_versions(cluster.versions.clone(), bound);
+            let bounds = entry.node.settings().cold_bounds;
+            let turned = placer.set_cold(now, cluster.members.values(), routing, bounds);
+            let log = entry.node.log();
+            turned
+                .iter()
+                .for_each(|id| log.cold(now, id, "registration"));
         });
         entry
     }
@@ -684,15 +698,16 @@
     fn metrics(&self) -> String {
         let now = self.node.now();
         let version = self.node.cluster().routing().map_or(0, |r| r.version());
-        let (open, limited, running) = {
+        let (open, limited, cold, running) = {
             let placer = self.placer();
             let open = placer.iter().filter(|(_, t)| t.is_open(now)).count();
-            (open, placer.limited(), placer.in_flight())
+            (open, placer.limited(), placer.cold(now), placer.in_flight())
         };
         let metrics = self.node.metrics();
         metrics.set(Metric::TableRevision, version);
         metrics.set(Metric::UpstreamOpen, open as u64);
         metrics.set(Metric::UpstreamLimited, limited as u64);
+        metrics.set(Metric::UpstreamCold, cold as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -37,13 +37,21 @@
 
 /// Adds the limits of upstreams, and keeps the entries that share them.
 fn add_limits(entry: &Entry, now: Millis, datagram: &mut Datagram) {
-    if entry.placer().limited() > 0 {
+    let (is_limited, is_cold_due) = {
+        let placer = entry.placer();
+        (placer.limited() > 0, placer.needs_sharers(now))
+    };
+    if is_limited || is_cold_due {
         let own = entry.node.settings();
         let mut entries = IndexMap::from([(own.name.clone(), own.zone.clone())]);
         let peers = entry.node.peers();
         let others = peers.with_role(Role::Entry);
         entries.extend(others.map(|p| (p.name.clone(), p.zone.clone())));
         drop(peers);
+        if is_cold_due {
+            let shared = entries.iter().map(|(n, z)| (n.clone(), z.clone()));
+            entry.placer().set_sharers(now, &own.name, shared);
+        }
         entry.placer().set_entries(&own.name, entries);
     }
     let limits = entry.placer().limits(now);
@@ -64,7 +72,12 @@
         entry.placer().on_loads(now, &datagram.name, &loads);
     }
     if let Some(doc) = &datagram.status {
-        entry.placer().on_status(&doc.upstream, status(now, doc));
+        let mut placer = entry.placer();
+        placer.on_status(&doc.upstream, status(now, doc));
+        let left = doc.cold.map(|left| Millis(u64::from(left)));
+        let turned = left.and_then(|left| placer.on_cold_agent(now, &doc.upstream, left));
+        drop(placer);
+        turned.inspect(|id| entry.node.log().cold(now, id, "agent"));
     }
     for limit in &datagram.limits {
         let rate = limit.rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -98,7 +98,9 @@
     let owner = call.credential.as_deref().unwrap_or_default();
     let fingerprint = suspect::fingerprint(owner, parts.method.as_str(), &target, &body);
     let time_lost = entry.time_lost(&fingerprint, arrived, call.time_left);
-    let profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    let mut profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    let owner_rank = organisation.as_ref().and_then(|o| o.priority);
+    profile.rank = owner_rank.unwrap_or(route.priority);
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
@@ -176,6 +178,7 @@
         pool: pool.to_string(),
         model: call.model.clone().filter(|_| engine.is_some()),
         min_version: 0,
+        rank: route.priority,
         size,
         slack_ms: (left > 0.0).then_some(left),
         max_pause: route.gap_target.map(|pause| pause.0 as f64),
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -194,6 +194,9 @@
     /// when no load is planned.
     #[prost(uint32, optional, tag = "10")]
     pub turn: Option<u32>,
+    /// Time for which the runner is still cold, in milliseconds; none when it is not.
+    #[prost(uint32, optional, tag = "11")]
+    pub cold: Option<u32>,
 }
 
 /// A model that a runner holds.
--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -38,6 +38,8 @@
     pub started: u64,
     /// Number of its writes since it started, as it counts them; 0 when it does not.
     pub sequence: u64,
+    /// Time for which it was still cold when it wrote this; 0 when it was not.
+    pub cold_left: Millis,
     /// Versions of models that it has loaded; empty for a plain service.
     pub holdings: Vec<Holding>,
 }
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -87,6 +87,7 @@
     LogLeftOut = "log.left_out", Counter, "lines", "", "log lines beyond the bound of their kind";
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
     UpstreamLimited = "upstream.limited", Gauge, "upstreams", "", "upstreams that limit the requests of all entries together";
+    UpstreamCold = "upstream.cold", Gauge, "upstreams", "", "upstreams that are cold and limited for that by their pool";
     CrashCounted = "crash.counted", Counter, "crashes", "", "crashes of upstreams that an entry counted against requests";
     CrashBlocked = "crash.blocked", Gauge, "signatures", "", "requests and parts of prompts that are blocked as upstreams crash when they begin to answer them";
     VersionExpired = "version.expired", Counter, "answers", "", "streams whose first event came after the expiry of the version that they were made from";
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -100,6 +100,12 @@
     /// Availability zone of the origin.
     #[serde(default)]
     zone: String,
+    /// Seconds after its start for which a runner is cold; 0 when none is.
+    #[serde(default)]
+    cold_s: f64,
+    /// Requests a second that a cold runner takes from all callers together.
+    #[serde(default)]
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -263,6 +269,8 @@
         max_connections: doc.max_conns.unwrap_or(u32::MAX),
         engine: doc.engine.map(engine).map(Arc::new),
         origin: doc.origin.map(|addr| Origin { addr, zone }),
+        cold_span: millis(doc.cold_s * 1_000.0),
+        cold_rate: doc.cold_per_s.filter(|r| r.is_finite() && *r > 0.0),
     }
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -48,6 +48,8 @@
 /// Requests a second that the runner takes from all machines together, for as long as it
 /// says so; a decimal number.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Time for which the runner is still cold, in milliseconds.
+const COLD: HeaderName = HeaderName::from_static("x-cold-ms");
 
 /// Headers that apply to one connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -240,6 +242,8 @@
     /// Requests a second that the runner takes from all entries together; `None` when it
     /// names no limit.
     pub rate_limit: Option<f64>,
+    /// Time for which the runner is still cold; `None` when it does not state it.
+    pub cold_left: Option<Millis>,
 }
 }
 
@@ -272,6 +276,9 @@
             .then(|| retry_after(headers))
             .flatten(),
         rate_limit: number(headers, SERVER_LIMIT).filter(|r: &f64| r.is_finite() && *r >= 0.0),
+        cold_left: number(headers, COLD)
+            .filter(|ms: &f64| ms.is_finite() && *ms >= 0.0)
+            .map(|ms| Millis(ms.ceil() as u64)),
     }
 }
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -33,6 +33,9 @@
     /// Number of its writes.
     #[serde(default)]
     seq: u64,
+    /// Time for which it is still cold when this is written, in milliseconds.
+    #[serde(default)]
+    cold_left_ms: f64,
     #[serde(default)]
     models: Vec<ModelDoc>,
     /// Loaded layers; null when nothing is loaded.
@@ -92,6 +95,7 @@
         draining,
         started: doc.born,
         sequence: doc.seq,
+        cold_left: Millis(doc.cold_left_ms.max(0.0).ceil() as u64),
         holdings: holdings(&doc.models, doc.layers.as_ref()),
     })
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -57,6 +57,9 @@
     pub retry_slack: f64,
     /// Length of the window in which repeated sends are counted.
     pub retry_window: Millis,
+    /// Requests in a second that a cold upstream may get, as a multiple of its limit and
+    /// a number beyond that.
+    pub cold_bounds: (f64, f64),
     /// Maximum number of open file descriptors of the process.
     pub max_fds: usize,
     /// Bandwidth of the VM's network link, in Mbit/s.
@@ -163,6 +166,10 @@
         retry_ratio: fields.or("bounds.retry_ratio", 0.2)?,
         retry_slack: fields.or("bounds.retry_slack", 0.0)?,
         retry_window: Millis((fields.or("bounds.retry_window_s", 10.0)? * 1_000.0) as u64),
+        cold_bounds: (
+            fields.or("bounds.cold_overshoot", 1.5)?,
+            fields.or("bounds.cold_slack", 5.0)?,
+        ),
         max_fds: fields.or("limits.max_fds", 1_024)?,
         link_mbps: fields.or("limits.link_mbps", 1_000.0)?,
     })
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,8 @@
 pub mod admit;
 pub mod affinity;
 pub mod choose;
+pub mod cold;
+pub mod cold_placer;
 pub mod cost;
 pub mod eject;
 pub mod engine;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -15,6 +15,7 @@
 use crate::prelude::*;
 use crate::rollout::versions::Versions;
 use crate::route::admit;
+use crate::route::cold::Sharers;
 use crate::route::engine::Engine;
 use crate::route::notice::Notice;
 use crate::route::notice::Notices;
@@ -27,6 +28,7 @@
 use crate::route::recovery::Recovery;
 use crate::route::spread;
 use crate::route::spread::Candidate;
+use crate::route::target::ColdState;
 use crate::route::target::Load;
 use crate::route::target::PACE_RANGE;
 use crate::route::target::RunnerStatus;
@@ -79,10 +81,10 @@
 /// One call in progress.
 #[derive(Clone, Debug)]
 pub struct Call {
-    target: Key<Target>,
+    pub(super) target: Key<Target>,
     /// Start time of the upstream that the call was sent to.
-    started: u64,
-    sent: Millis,
+    pub(super) started: u64,
+    pub(super) sent: Millis,
     unread_ms: f64,
     predicted_ms: f64,
     begun: bool,
@@ -93,10 +95,10 @@
 #[derive(Debug)]
 pub struct Placer {
     zone: String,
-    targets: Arena<Target>,
-    by_id: IndexMap<String, Key<Target>>,
+    pub(super) targets: Arena<Target>,
+    pub(super) by_id: IndexMap<String, Key<Target>>,
     by_hash: IndexMap<u64, Key<Target>>,
-    calls: Arena<Call>,
+    pub(super) calls: Arena<Call>,
     /// Average service time of plain services by pool, in milliseconds.
     plain_ms: IndexMap<String, f64>,
     versions: Versions,
@@ -107,6 +109,12 @@
     own_name: String,
     /// Zones of all entries, this one included, by name.
     entries: IndexMap<String, String>,
+    /// Entries that share the limits of cold upstreams.
+    pub(super) sharers: Sharers,
+    /// Number of upstreams for which the places at cold ones were computed.
+    pub(super) cold_total: usize,
+    /// Slowness of cold upstreams by pool.
+    pub(super) cold_factors: IndexMap<String, f64>,
     rng: Rng,
 }
 
@@ -125,6 +133,9 @@
             notices: Notices::default(),
             own_name: String::new(),
             entries: IndexMap::new(),
+            sharers: Sharers::default(),
+            cold_total: 0,
+            cold_factors: IndexMap::new(),
             rng: Rng::with_seed(seed),
         }
     }
@@ -222,6 +233,7 @@
             recovery: Recovery::default(),
             misdirected_at: None,
             rate_limit: RateLimit::default(),
+            cold: ColdState::default(),
         });
         self.by_id.insert(member.id.clone(), key);
         self.by_hash.insert(id_hash, key);
@@ -407,8 +419,8 @@
     ///
     /// Runners of other zones that do not report to this entry are used only when no
     /// other is left, and after them upstreams that cool down after failures. Upstreams
-    /// that asked for no requests are never used, and those that named a limit only within
-    /// the part of this entry.
+    /// that asked for no requests are never used, and those that named a limit, or are
+    /// cold, only within the part of this entry.
     pub fn choose(
         &mut self,
         now: Millis,
@@ -424,6 +436,7 @@
             .get(&profile.pool)
             .copied()
             .unwrap_or(INITIAL_PLAIN_MS);
+        let is_reserved = self.is_cold_reserved(now, profile);
         for (key, target) in self.targets.iter() {
             if !target.serves(now, profile) {
                 continue;
@@ -435,6 +448,7 @@
                     None => continue,
                 }
             }
+            left = left.max(target.cold_wait(now, is_reserved));
             if left > Millis(0) {
                 // An upstream that was tried counts too, since the caller may
                 // come back to it.
@@ -583,6 +597,7 @@
         let share = self.targets.get(key).map_or(0.0, |t| self.limit_share(t));
         if let Some(target) = self.targets.get_mut(key) {
             target.rate_limit.on_sent(now, share);
+            target.cold.held.on_sent();
             started = target.registration.started;
             unread_ms = target
                 .engine
@@ -615,10 +630,13 @@
         }
         let took = now.since(call.sent).0 as f64;
         let (unread_ms, predicted_ms) = (call.unread_ms, call.predicted_ms);
-        let Some(target) = self.targets.get_mut(call.target) else {
+        let key = call.target;
+        self.learn_cold(now, key, took, predicted_ms);
+        let Some(target) = self.targets.get_mut(key) else {
             return;
         };
         target.own_load.unread_ms = (target.own_load.unread_ms - unread_ms).max(0.0);
+        target.release_place(now, None);
         target.update_slowness(now, took, predicted_ms);
         if target.engine.is_none() {
             let work_ms = self.plain_ms.entry(target.registration.pool.clone());
@@ -639,6 +657,7 @@
         target.own_load.calls -= 1;
         if !call.begun {
             target.own_load.unread_ms = (target.own_load.unread_ms - call.unread_ms).max(0.0);
+            target.release_place(now, Some(outcome));
         }
         if outcome == Outcome::Misdirected {
             target.misdirected_at = Some(now);
--- a/src/route/profile.rs
+++ b/src/route/profile.rs
@@ -8,6 +8,8 @@
 pub struct RequestProfile {
     /// Name of the pool that serves it.
     pub pool: String,
+    /// Priority of its organisation or else its route; 0 is the most urgent.
+    pub rank: u8,
     /// Model that it names; none for plain services.
     pub model: Option<String>,
     /// Oldest version of the model that may run it.
--- a/src/route/rate_share.rs
+++ b/src/route/rate_share.rs
@@ -3,7 +3,8 @@
 //! It is made for upstreams in need that take a few requests a second, before many
 //! entries that cannot ask each other first. The entries that may use such an upstream,
 //! and the part of each, follow from the names that all entries know, so they add up to
-//! the limit without an exchange of counts.
+//! the limit without an exchange of counts. [`crate::route::cold`] divides the limit of
+//! cold upstreams in the same order of entries.
 
 use crate::prelude::*;
 use crate::util;
@@ -140,6 +141,37 @@
     entries: impl IntoIterator<Item = &'a str>,
 ) -> f64 {
     let rate = rate.max(MIN_RATE);
+    let (position, count) = position(upstream, own, entries);
+    let users = (rate / MIN_SHARE).min(2.0 + USERS_PER_RATE * rate);
+    let users = (users as usize).clamp(1, count.max(1));
+    if position.is_some_and(|before| before < users) {
+        rate / users as f64
+    } else {
+        0.0
+    }
+}
+
+/// Returns how many of `places` the entry `own` has at an upstream that `entries` may use.
+/// They must include the own one, or it has none.
+pub fn places<'a>(
+    places: usize,
+    upstream: u64,
+    own: &str,
+    entries: impl IntoIterator<Item = &'a str>,
+) -> usize {
+    let (position, count) = position(upstream, own, entries);
+    position.map_or(0, |before| {
+        places / count + usize::from(before < places % count)
+    })
+}
+
+/// Returns the position of the entry `own` in the order in which `entries` use an upstream,
+/// none when it is not among them, and their number. Each upstream has an order of its own.
+fn position<'a>(
+    upstream: u64,
+    own: &str,
+    entries: impl IntoIterator<Item = &'a str>,
+) -> (Option<usize>, usize) {
     let upstream = upstream.to_string();
     let rank = |name: &str| util::stable_hash([upstream.as_str(), name]);
     let own_rank = rank(own);
@@ -149,11 +181,5 @@
         is_user |= entry == own;
         before += usize::from(rank(entry) > own_rank);
     }
-    let users = (rate / MIN_SHARE).min(2.0 + USERS_PER_RATE * rate);
-    let users = (users as usize).clamp(1, count.max(1));
-    if is_user && before < users {
-        rate / users as f64
-    } else {
-        0.0
-    }
+    (is_user.then_some(before), count)
 }
--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -6,6 +6,9 @@
 use crate::member::registry;
 use crate::member::registry::Registration;
 use crate::prelude::*;
+use crate::route::cold::Cold;
+use crate::route::cold::ColdLimit;
+use crate::route::cold::Places;
 use crate::route::engine::Engine;
 use crate::route::notice::Notice;
 use crate::route::profile::RequestProfile;
@@ -100,6 +103,30 @@
     pub(super) misdirected_at: Option<Millis>,
     /// Requests a second that it takes from all entries.
     pub(super) rate_limit: RateLimit,
+    /// State of an upstream that started a short time ago.
+    pub(super) cold: ColdState,
+}
+
+/// What one entry knows of an upstream as a cold one.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ColdState {
+    /// Limit of its pool; none when the pool sets none.
+    pub(super) limit: Option<ColdLimit>,
+    /// Whether it is cold.
+    pub(super) state: Cold,
+    /// Places of this entry.
+    pub(super) places: u32,
+    /// Requests that hold places.
+    pub(super) held: Places,
+    /// Observed slowness of the cold upstreams of its pool; 0 before any was observed.
+    pub(super) factor: f64,
+}
+
+impl ColdState {
+    /// Returns its limit while it is cold.
+    pub(super) fn limit(&self, now: Millis) -> Option<&ColdLimit> {
+        self.limit.as_ref().filter(|_| self.state.is_cold(now))
+    }
 }
 
 impl Target {
@@ -143,6 +170,11 @@
             "pace": self.pace(now),
             "resting": self.is_avoided(now),
             "rate_limit": self.rate_limit.rate(),
+            "cold": self.cold.limit(now).map(|limit| serde_json::json!({
+                "left_ms": self.cold.state.left(now).0, "age_ms": self.cold.state.age(now).map(|a| a.0),
+                "places": self.cold.places, "held": self.cold.held.held(now, limit),
+                "slowness": self.cold.factor.max(1.0),
+            })),
             "status": self.status(now).map(|s| serde_json::json!({
                 "busy": s.loading, "calls": s.calls, "age_ms": now.since(s.measured_at).0,
             })),
@@ -259,7 +291,15 @@
         } else {
             1.0
         };
-        reported * self.slowness(now)
+        reported * self.slowness(now).max(self.cold_factor(now))
+    }
+
+    /// Returns the factor by which its work takes longer than usual as it is cold; 1 when
+    /// it is not, or before any cold upstream of its pool was observed.
+    pub(super) fn cold_factor(&self, now: Millis) -> f64 {
+        self.cold
+            .limit(now)
+            .map_or(1.0, |_| self.cold.factor.max(1.0))
     }
 
     /// Returns the observed slowness beyond the reported pace. It decays towards 1
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -105,6 +105,11 @@
     pub engine: Option<Arc<Engine>>,
     /// Set when the pool is an origin of weights, not a pool for requests.
     pub origin: Option<Origin>,
+    /// Time after its start for which an upstream is cold; 0 when none is.
+    pub cold_span: Millis,
+    /// Requests a second that a cold upstream takes from all entries together; `None`
+    /// when it is not limited.
+    pub cold_rate: Option<f64>,
 }
 }
 
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -33,6 +33,7 @@
         draining: false,
         started: 1,
         sequence: 0,
+        cold_left: Millis(0),
         holdings: holdings(version),
     }
 }
@@ -56,6 +57,8 @@
         max_connections: 100,
         engine: Some(Arc::new(chervilquay::bench::place::engine())),
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
 }
@@ -65,6 +68,7 @@
         pool: "p".to_string(),
         model: Some("m".to_string()),
         min_version,
+        rank: 0,
         size: Size {
             prompt: 500.0,
             output: 50.0,
--- a/tests/place_load.rs
+++ b/tests/place_load.rs
@@ -13,6 +13,7 @@
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
 use chervilquay::table::routing::Routing;
+use chervilquay::time::Millis;
 use support::placing;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -78,6 +79,8 @@
         max_connections: 100,
         engine: Some(Arc::new(place::engine())),
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     let routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
     let members: Vec<_> = (0..100)
--- a/tests/place_version.rs
+++ b/tests/place_version.rs
@@ -59,6 +59,8 @@
         max_connections: 100,
         engine: Some(Arc::new(engine)),
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
 }
--- a/tests/platform_decode.rs
+++ b/tests/platform_decode.rs
@@ -264,3 +264,37 @@
     let none = headers::decode_reply(StatusCode::OK, &HeaderMap::new());
     assert_eq!(none.rate_limit, None);
 }
+
+/// Guards against a statement about a cold runner, or its limit, that is not read.
+#[test]
+fn cold_statements_are_decoded() {
+    let cold = |value: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-cold-ms", value.parse().expect("value"));
+        headers::decode_reply(StatusCode::OK, &headers).cold_left
+    };
+    assert_eq!(cold("2500"), Some(Millis(2_500)));
+    assert_eq!(cold("0.2"), Some(Millis(1)));
+    assert_eq!((cold("-1"), cold("NaN"), cold("soon")), (None, None, None));
+    let member = |rest: &str| {
+        let doc = registration(rest);
+        let decoded = registry::decode("servers/r", doc.as_bytes());
+        decoded.expect("registration").cold_left
+    };
+    assert_eq!(member(r#","cold_left_ms":7900"#), Millis(7_900));
+    assert_eq!(member(r#","seq":1"#), Millis(0));
+    let pool = |rest: &str| {
+        let doc = format!(r#"{{"version":1,"services":[{{"name":"p"{rest}}}]}}"#);
+        let routing = config::decode(doc.as_bytes()).expect("configuration");
+        let pool = routing.pool("p").expect("pool").clone();
+        (pool.cold_span, pool.cold_rate)
+    };
+    let both = pool(r#","cold_s":8,"cold_per_s":26"#);
+    assert_eq!(both, (Millis(8_000), Some(26.0)));
+    assert_eq!(pool(""), (Millis(0), None));
+    let bounds = |rest: &str| settings::parse(&format!("{SETTINGS}{rest}")).map(|s| s.cold_bounds);
+    assert_eq!(bounds("").expect("settings"), (1.5, 5.0));
+    let set = bounds("bounds.cold_overshoot=1.2\nbounds.cold_slack=2\n");
+    assert_eq!(set.expect("settings"), (1.2, 2.0));
+    assert!(bounds("bounds.cold_slack=some\n").is_err());
+}
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -7,6 +7,7 @@
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
 use chervilquay::table::routing::Routing;
+use chervilquay::time::Millis;
 
 /// Returns an upstream of the pool that started at `started`.
 pub fn member(id: &str, started: u64) -> Registration {
@@ -19,6 +20,7 @@
         draining: false,
         started,
         sequence: 0,
+        cold_left: Millis(0),
         holdings: Vec::new(),
     }
 }
@@ -31,6 +33,8 @@
         max_connections: 100,
         engine: None,
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
 }
@@ -41,6 +45,7 @@
         pool: "p".to_string(),
         model: None,
         min_version: 0,
+        rank: 0,
         size: Size {
             prompt: 0.0,
             output: 0.0,
