route: Test cold upstreams with empty queues at each fault

Change: the rush comes after the fault, at upstreams with free slots. The test of the queue follows the places of one entry.

--- a/tests/place_cold.rs
+++ b/tests/place_cold.rs
@@ -238,40 +238,43 @@
     }
 }
 
-/// Guards against places that are lost with an entry, so that upstreams stay idle, and
-/// against two entries that use the same ones.
+/// Guards against places that are lost with an entry, so that upstreams that return stay
+/// idle, and against two entries that use the same ones.
 #[test]
 fn lost_entries_leave_the_limit() {
-    let mut fleet = Fleet::new(20, |_| 0, 60_000);
-    fleet.is_alive = |now, n| now < 12_000 || n % 5 != 0;
-    fleet.lists = |now, _, other| now < 15_000 || other % 5 != 0;
-    fleet.play(0, 90_000, 500.0);
-    assert!(fleet.most(0) <= RATE, "{}", fleet.most(0));
-    assert!(fleet.used() >= 0.9, "{}", fleet.used());
+    for rush in [12_000, 16_000, 90_000] {
+        let mut fleet = Fleet::new(20, |_| 0, 120_000);
+        fleet.is_alive = |_, n| n % 5 != 0;
+        fleet.lists = |now, _, other| now < 15_000 || other % 5 != 0;
+        fleet.play(0, rush, 0.0);
+        fleet.play(rush, rush + 4_000, 500.0);
+        let most = fleet.most(0);
+        assert!(most <= RATE, "{rush}: {most}");
+        assert!(fleet.used() >= 0.9, "{rush}: {}", fleet.used());
+    }
 }
 
 /// Guards against entries that take all places as they know no others: after a restart, and
-/// on both sides of a partition.
+/// on all sides of a partition.
 #[test]
 fn outdated_lists_keep_the_limit() {
-    let mut fleet = Fleet::new(20, |n| n % 3, 120_000);
-    fleet.play(0, 12_000, 600.0);
-    for index in 0..2 {
-        fleet.placers[index] = fleet.placer(index, 12_000);
-    }
-    for upstream in &mut fleet.upstreams {
-        upstream.queue.retain(|(_, entry, _)| *entry > 1);
-        upstream.running.retain(|(_, entry, _)| *entry > 1);
-        upstream.arriving.retain(|(_, entry, _)| *entry > 1);
+    for age in [100, 20_000] {
+        let mut fleet = Fleet::new(20, |_| 0, 120_000);
+        fleet.play(0, 12_000, 0.0);
+        for index in 0..2 {
+            fleet.placers[index] = fleet.placer(index, 12_000);
+        }
+        fleet.lists = |_, own, _| own > 1;
+        fleet.play(12_000, 12_000 + age, 0.0);
+        fleet.play(12_000 + age, 16_000 + age, 1_500.0);
+        let most = fleet.most(0);
+        assert!(most <= BOUND, "{age} ms after a restart: {most}");
     }
-    fleet.lists = |_, own, _| own > 1;
-    fleet.play(12_000, 30_000, 600.0);
-    let most = fleet.most(0);
-    assert!(most <= BOUND, "restarted entries: {most}");
-    let mut fleet = Fleet::new(20, |n| n % 3, 60_000);
-    fleet.play(0, 12_000, 600.0);
+    let mut fleet = Fleet::new(20, |n| n % 3, 120_000);
+    fleet.play(0, 12_000, 0.0);
     fleet.lists = |_, own, other| own % 3 == other % 3;
-    fleet.play(12_000, 40_000, 600.0);
+    fleet.play(12_000, 40_000, 0.0);
+    fleet.play(40_000, 44_000, 1_500.0);
     let most = fleet.most(0);
     assert!(most <= RATE, "partition: {most}");
 }
@@ -299,25 +302,6 @@
     assert!(fleet.most(0) <= RATE, "{}", fleet.most(0));
 }
 
-/// Guards against an upstream that turns cold while it has a queue and gets as many requests
-/// as before, as the places that its requests hold are not counted.
-#[test]
-fn upstream_turns_cold_with_a_queue() {
-    let mut fleet = Fleet::new(2, |_| 0, 0);
-    fleet.play(0, 4_000, 400.0);
-    for member in &mut fleet.members {
-        (member.cold_left, member.sequence) = (Millis(30_000), 2);
-    }
-    for placer in &mut fleet.placers {
-        placer.set_members(&fleet.members, &limited());
-        let turned = placer.set_cold(Millis(4_000), &fleet.members, &limited(), BOUNDS);
-        assert_eq!(turned.len(), 2);
-        assert_eq!(placer.cold(Millis(4_000)), 2);
-    }
-    fleet.play(4_000, 10_000, 400.0);
-    assert!(fleet.most(4_000) <= RATE, "{}", fleet.most(4_000));
-}
-
 fn single(routing: &Routing, left: u64) -> Placer {
     let members = [member(0, "a", 1, left)];
     let mut placer = Placer::new("a", 1);
@@ -336,6 +320,38 @@
     }
 }
 
+/// Guards against an upstream that turns cold with a queue and gets as many requests as an
+/// empty one.
+#[test]
+fn upstream_turns_cold_with_a_queue() {
+    let mut placer = single(&limited(), 0);
+    let profile = placing::profile();
+    let calls: Vec<_> = (0..SLOTS)
+        .filter_map(|_| send(&mut placer, 0, &profile).ok())
+        .collect();
+    assert_eq!(calls.len(), SLOTS);
+    assert!(
+        placer
+            .on_cold_answer(Millis(50), calls[0], Millis(30_000))
+            .is_some()
+    );
+    for call in &calls {
+        placer.on_begun(Millis(60), *call);
+        placer.on_ended(Millis(70), *call, Outcome::Done);
+    }
+    assert!(send(&mut placer, 1_050, &profile).is_err());
+    assert!(send(&mut placer, 1_060, &profile).is_ok());
+    let member = [Registration {
+        sequence: 2,
+        ..member(0, "a", 1, 0)
+    }];
+    let turned = placer.set_cold(Millis(9_000), &member, &limited(), BOUNDS);
+    assert!(
+        turned.is_empty() && placer.cold(Millis(9_000)) == 0,
+        "registered as warm"
+    );
+}
+
 /// Guards against what holds for one incarnation and is applied to the next, and against
 /// the news of one source that undoes the later news of another.
 #[test]
