soak: Check the requests to upstreams that restart cold

Cause: no run with real processes checked the limit of cold upstreams, and the test of restarted entries had too many cold upstreams for a wrong list to show. Change: a stand-in that restarts states in its registration and its answers that it is cold for 2 s; the checker counts what reaches it in any second against 20 x 1.5 + 5. The test of restarted entries has two cold upstreams among 45.

--- a/src/platform/standin.rs
+++ b/src/platform/standin.rs
@@ -190,9 +190,10 @@
     let mut pools: Vec<&str> = routes.iter().map(|route| route.pool).collect();
     pools.sort_unstable();
     pools.dedup();
-    let pools = pools
-        .iter()
-        .map(|name| json!({"name": name, "health_path": "/health", "max_conns": 400}));
+    let pools = pools.iter().map(|name| {
+        json!({"name": name, "health_path": "/health", "max_conns": 400,
+            "cold_s": COLD_TIME.0 / 1_000, "cold_per_s": COLD_LIMIT.0})
+    });
     let doc = json!({"version": version, "routes": docs.collect::<Vec<_>>(),
         "services": pools.collect::<Vec<_>>(),
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
@@ -206,6 +207,21 @@
     format!("{}{id}", registry::PREFIX)
 }
 
+/// Limit of the stand-ins' pools for a cold runner, in requests a second, and the most
+/// that may reach it in any second.
+pub const COLD_LIMIT: (u32, usize) = (20, 35);
+
+/// Time after a restart for which a stand-in runner is cold.
+pub const COLD_TIME: Millis = Millis(2_000);
+
+/// Header in which a runner states the time for which it is still cold.
+pub const COLD: &str = "x-cold-ms";
+
+/// States in a registration for how long its runner is still cold.
+pub fn set_cold(registration: &mut Value, left: Millis) {
+    registration["cold_left_ms"] = json!(left.0);
+}
+
 /// Returns the registration of a runner that started at `born`, in milliseconds; it is
 /// draining unless `ready`.
 pub fn registration(pool: &str, addr: SocketAddr, born: u64, ready: bool) -> Value {
--- a/src/soak/checker.rs
+++ b/src/soak/checker.rs
@@ -4,6 +4,9 @@
 //! Rules with a time limit apply to a process only while it is calm: no fault is
 //! active on it, and the last one ended at least `SETTLE_TIME` ago.
 
+use std::collections::VecDeque;
+
+use crate::platform::standin;
 use crate::prelude::*;
 
 /// Time after the last fault from which the time limits apply to a process again.
@@ -106,6 +109,8 @@
     observed: IndexMap<String, ObservedConfig>,
     /// When SIGTERM was sent, by entry; cleared on restart.
     stops: IndexMap<String, Millis>,
+    /// When requests reached cold upstreams in the last second, by upstream id.
+    cold_arrivals: IndexMap<String, VecDeque<Millis>>,
     complete: usize,
     violations: Vec<String>,
 }
@@ -208,6 +213,19 @@
         }
     }
 
+    /// Records a request that reached a cold upstream, and checks that these are not too
+    /// many in a second.
+    pub fn on_cold_arrival(&mut self, now: Millis, id: &str, upstream: &str) {
+        let arrived = self.cold_arrivals.entry(upstream.to_string()).or_default();
+        arrived.retain(|at| now.since(*at) < Millis(1_000));
+        arrived.push_back(now);
+        let count = arrived.len();
+        if count > standin::COLD_LIMIT.1 {
+            let what = format!("{upstream} is cold and got {count} requests in a second");
+            self.record_violation(now, id, &what);
+        }
+    }
+
     /// Checks that the pool belongs to a configuration that the entry may still use.
     /// `is_bound` says whether the time limit for a new configuration applies.
     fn check_config(
--- a/src/soak/upstream.rs
+++ b/src/soak/upstream.rs
@@ -50,6 +50,8 @@
     pub proxy: Proxy,
     /// Start time that it registers with, in milliseconds; changes after a crash.
     started: Mutex<u64>,
+    /// Until when it is cold.
+    cold_until: Mutex<Millis>,
     /// True while it drains or is crashed, and after it has ended.
     unavailable: AtomicBool,
 }
@@ -64,6 +66,7 @@
         pool,
         proxy,
         started: Mutex::new(harness.now().0),
+        cold_until: Mutex::new(Millis(0)),
         unavailable: AtomicBool::new(false),
     });
     lock(&harness.upstreams).push(upstream.clone());
@@ -92,12 +95,18 @@
     /// Writes its registration; one that is not `ready` gets no new requests.
     fn register(&self, harness: &Harness, ready: bool) {
         let started = *lock(&self.started);
-        let doc = standin::registration(self.pool, self.proxy.addr(), started, ready);
+        let mut doc = standin::registration(self.pool, self.proxy.addr(), started, ready);
+        standin::set_cold(&mut doc, self.cold_left(harness));
         harness
             .store
             .put(&standin::runner_key(&self.id), Some(&doc));
     }
 
+    /// Returns the time for which it is still cold.
+    fn cold_left(&self, harness: &Harness) -> Millis {
+        lock(&self.cold_until).since(harness.now())
+    }
+
     /// Registers as leaving, goes on answering for `DRAIN_TIME`, and ends for good.
     pub async fn drain(&self, harness: &Harness) {
         self.unavailable.store(true, Ordering::Relaxed);
@@ -121,6 +130,7 @@
         }
         self.proxy.set_fault(Fault::None);
         *lock(&self.started) = harness.now().0;
+        *lock(&self.cold_until) = harness.now().plus(standin::COLD_TIME);
         self.register(harness, true);
         lock(&harness.checker).on_brief_fault(harness.now(), &self.id);
         self.unavailable.store(false, Ordering::Relaxed);
@@ -139,6 +149,10 @@
             value.unwrap_or_default().to_string()
         };
         let id = header(standin::REQUEST_ID);
+        let cold_left = self.cold_left(harness);
+        if cold_left > Millis(0) && header(standin::EXPECT_INSTANCE) == self.id {
+            lock(&harness.checker).on_cold_arrival(harness.now(), &id, &self.id);
+        }
         let mut response = if header(standin::EXPECT_INSTANCE) != self.id {
             not_run(StatusCode::MISDIRECTED_REQUEST)
         } else if fastrand::u32(0..100) < 3 {
@@ -164,7 +178,12 @@
                 }
             }
         };
-        for (name, value) in [(standin::REQUEST_ID, id.as_str()), (standin::SEAL, "seal")] {
+        let cold_left = cold_left.0.to_string();
+        for (name, value) in [
+            (standin::REQUEST_ID, id.as_str()),
+            (standin::SEAL, "seal"),
+            (standin::COLD, cold_left.as_str()),
+        ] {
             if let Ok(value) = HeaderValue::from_str(value) {
                 response.headers_mut().insert(name, value);
             }
--- a/tests/place_cold.rs
+++ b/tests/place_cold.rs
@@ -259,12 +259,20 @@
 #[test]
 fn outdated_lists_keep_the_limit() {
     for age in [100, 20_000] {
-        let mut fleet = Fleet::new(20, |_| 0, 120_000);
+        let mut fleet = Fleet::new(2, |_| 0, 120_000);
+        // The size of the fleet shows in the upstreams of other pools.
+        fleet.members.extend((2..45).map(|n| Registration {
+            pool: "q".to_string(),
+            ..member(n, ZONES[n % 3], 1, 0)
+        }));
+        for index in 0..ENTRIES {
+            fleet.placers[index] = fleet.placer(index, 0);
+        }
         fleet.play(0, 12_000, 0.0);
-        for index in 0..2 {
+        for index in 0..6 {
             fleet.placers[index] = fleet.placer(index, 12_000);
         }
-        fleet.lists = |_, own, _| own > 1;
+        fleet.lists = |_, own, _| own >= 6;
         fleet.play(12_000, 12_000 + age, 0.0);
         fleet.play(12_000 + age, 16_000 + age, 1_500.0);
         let most = fleet.most(0);
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -150,3 +150,19 @@
     request(&mut checker, "e", 6_500, "left");
     assert_eq!(checker.violations().len(), 1, "a true reversal");
 }
+
+/// Guards against a checker that misses too many requests to a cold upstream, or counts
+/// those of other seconds and upstreams.
+#[test]
+fn requests_to_cold_upstreams_are_counted() {
+    let mut checker = Checker::default();
+    for count in 0..70 {
+        checker.on_cold_arrival(Millis(count * 30), "a", "u1");
+        checker.on_cold_arrival(Millis(count * 30), "a", "u2");
+    }
+    assert!(checker.violations().is_empty());
+    for count in 0..36 {
+        checker.on_cold_arrival(Millis(9_000 + count), "a", "u1");
+    }
+    assert_eq!(checker.violations().len(), 1);
+}
