--- a/src/bench/place/mod.rs
+++ b/src/bench/place/mod.rs
@@ -335,6 +335,8 @@
             max_connections: u32::MAX,
             engine: Some(Arc::new(engine.clone())),
             origin: None,
+            cold_span: Millis(0),
+            cold_rate: None,
         };
         let routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
         let registration = |index: usize| Registration {
@@ -346,6 +348,7 @@
             draining: false,
             started: 1,
             sequence: 0,
+            cold_left: Millis(0),
             holdings: vec![Holding {
                 model: "m".to_string(),
                 version: 1,
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -163,6 +163,10 @@
         let rate = reply.rate_limit;
         let upstream = self.entry.placer().on_rate_limit(now, self.call, rate);
         upstream.inspect(|id| log.rate_limit(now, id, rate, "answer"));
+        if let Some(left) = reply.cold_left {
+            let upstream = self.entry.placer().on_cold_answer(now, self.call, left);
+            upstream.inspect(|id| log.cold(now, id, "answer"));
+        }
         if let Some(span) = reply.back_off {
             let upstream = self.entry.placer().on_back_off(now, self.call, span);
             upstream.inspect(|id| log.back_off(now, id, span));
@@ -203,8 +207,14 @@
             answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
+        // Other entries are added with the first datagrams.
+        let settings = entry.node.settings();
+        let own = (settings.name.clone(), settings.zone.clone());
+        let (now, name) = (entry.node.now(), own.0.clone());
+        drop(settings);
+        entry.placer().set_sharers(now, &name, [own]);
         let held = Arc::downgrade(&entry);
-        entry.node.on_change(move |_, cluster| {
+        entry.node.on_change(move |now, cluster| {
             let (Some(entry), Some(routing)) = (held.upgrade(), cluster.routing()) else {
                 return;
             };
@@ -213,6 +223,12 @@
             placer.set_evacuated(&cluster.evacuations);
             placer.set_members(cluster.members.values(), routing);
             placer.set_versions(cluster.versions.clone(), bound);
+            let bounds = entry.node.settings().cold_bounds;
+            let turned = placer.set_cold(now, cluster.members.values(), routing, bounds);
+            let log = entry.node.log();
+            turned
+                .iter()
+                .for_each(|id| log.cold(now, id, "registration"));
         });
         entry
     }
@@ -699,10 +715,10 @@
     fn metrics(&self) -> String {
         let now = self.node.now();
         let version = self.node.cluster().routing().map_or(0, |r| r.version());
-        let (open, limited, running) = {
+        let (open, limited, cold, running) = {
             let placer = self.placer();
             let open = placer.iter().filter(|(_, t)| t.is_open(now)).count();
-            (open, placer.limited(), placer.in_flight())
+            (open, placer.limited(), placer.cold(now), placer.in_flight())
         };
         let metrics = self.node.metrics();
         metrics.set(Metric::TableRevision, version);
@@ -710,6 +726,7 @@
         metrics.set(Metric::ZoneEvacuated, evacuated as u64);
         metrics.set(Metric::UpstreamOpen, open as u64);
         metrics.set(Metric::UpstreamLimited, limited as u64);
+        metrics.set(Metric::UpstreamCold, cold as u64);
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
         let shares = lock(&self.admission).rank_shares(now);
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -91,6 +91,7 @@
     WeightsPulled = "weights.pulled_bytes", Counter, "bytes", "", "bytes of verified pieces that an agent pulled";
     ZoneEvacuated = "zone.evacuated", Gauge, "zones", "", "availability zones that the operator has evacuated";
     UpstreamLimited = "upstream.limited", Gauge, "upstreams", "", "upstreams that limit the requests of all entries together";
+    UpstreamCold = "upstream.cold", Gauge, "upstreams", "", "upstreams that are cold and limited for that by their pool";
     CrashCounted = "crash.counted", Counter, "crashes", "", "crashes of upstreams that an entry counted against requests";
     CrashBlocked = "crash.blocked", Gauge, "signatures", "", "requests and parts of prompts that are blocked as upstreams crash when they begin to answer them";
     VersionExpired = "version.expired", Counter, "answers", "", "streams whose first event came after the expiry of the version that they were made from";
--- a/src/route/profile.rs
+++ b/src/route/profile.rs
@@ -10,14 +10,14 @@
 pub struct RequestProfile {
     /// Name of the pool that serves it.
     pub pool: String,
+    /// Priority of its organisation or else its route; 0 is the most urgent.
+    pub rank: u8,
     /// Model that it names; none for plain services.
     pub model: Option<String>,
     /// Regions that may serve it.
     pub regions: Regions,
     /// Oldest version of the model that may run it.
     pub min_version: u64,
-    /// Its rank; 0 is the most urgent.
-    pub rank: u8,
     /// Length of its prompt and expected answer; zero for plain services.
     pub size: Size,
     /// Time left until its objective, in milliseconds; none when it is late already.
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -35,6 +35,7 @@
         draining: false,
         started: 1,
         sequence: 0,
+        cold_left: Millis(0),
         holdings: holdings(version),
     }
 }
@@ -58,6 +59,8 @@
         max_connections: 100,
         engine: Some(Arc::new(chervilquay::bench::place::engine())),
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
 }
@@ -68,6 +71,7 @@
         model: Some("m".to_string()),
         regions: Regions::Any,
         min_version,
+        rank: 0,
         size: Size {
             prompt: 500.0,
             output: 50.0,
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -9,6 +9,7 @@
 use chervilquay::table::routing::Limits;
 use chervilquay::table::routing::Pool;
 use chervilquay::table::routing::Routing;
+use chervilquay::time::Millis;
 
 /// Returns an upstream of the pool that started at `started`.
 pub fn member(id: &str, started: u64) -> Registration {
@@ -21,6 +22,7 @@
         draining: false,
         started,
         sequence: 0,
+        cold_left: Millis(0),
         holdings: Vec::new(),
     }
 }
@@ -33,6 +35,8 @@
         max_connections: 100,
         engine: None,
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default())
 }
@@ -44,6 +48,7 @@
         model: None,
         regions: Regions::Any,
         min_version: 0,
+        rank: 0,
         size: Size {
             prompt: 0.0,
             output: 0.0,
