soak: Evacuate zones and restrict a route to another region

Cause: the soak had one zone and no restrictions, so that no fault overlapped with an evacuation, and no repeat or resumed stream with a restriction. Change: upstreams stand in two zones of a region each, four a pool. A task for each zone writes and removes its key, with a generator of its own. The route stream is restricted to the region in which no entry stands. The checker reports a request in an evacuated zone 5 s after the acknowledgement, from a process in touch, and a stream outside its region always.

--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -18,7 +18,7 @@
 
 /// Prefix of the keys that exist while the operator has evacuated an availability zone;
 /// the name of the zone follows it.
-const EVACUATE_PREFIX: &str = "op/evacuate/";
+pub const EVACUATE_PREFIX: &str = "op/evacuate/";
 
 /// Registration of a runner, as the store holds it.
 #[derive(Deserialize)]
--- a/src/platform/standin.rs
+++ b/src/platform/standin.rs
@@ -201,6 +201,29 @@
     (config::KEY, doc)
 }
 
+/// Restricts the route with this name to regions, in a document as by [`config`].
+pub fn restrict(config: &mut Value, route: &str, regions: &[&str]) {
+    let routes = config["routes"].as_array_mut().into_iter().flatten();
+    for doc in routes.filter(|doc| doc["name"] == route) {
+        doc["allowed_regions"] = json!(regions);
+    }
+}
+
+/// Returns the line of a settings file that names the region of a zone.
+pub fn zone_setting(zone: &str, region: &str) -> String {
+    format!("zones.{zone}={region}\n")
+}
+
+/// Moves a registration as by [`registration`] to a zone.
+pub fn set_zone(registration: &mut Value, zone: &str) {
+    registration["zone"] = json!(zone);
+}
+
+/// Returns the key that exists while a zone is evacuated, and its value.
+pub fn evacuation(zone: &str) -> (String, Value) {
+    (format!("{}{zone}", registry::EVACUATE_PREFIX), json!({}))
+}
+
 /// Returns the key of the registration of the runner `id`.
 pub fn runner_key(id: &str) -> String {
     format!("{}{id}", registry::PREFIX)
--- a/src/soak/checker.rs
+++ b/src/soak/checker.rs
@@ -5,6 +5,8 @@
 //! active on it, and the last one ended at least `SETTLE_TIME` ago.
 
 use crate::prelude::*;
+use crate::soak::STREAM_REGION;
+use crate::soak::ZONES;
 
 /// Time after the last fault from which the time limits apply to a process again.
 const SETTLE_TIME: Millis = Millis(3_000);
@@ -12,6 +14,9 @@
 /// Time after which a leaving upstream must get no more requests.
 const DRAIN_TIME: Millis = Millis(2_000);
 
+/// Time after which an evacuated zone must get no more requests.
+const EVACUATE_TIME: Millis = Millis(5_000);
+
 /// Time within which an acknowledged configuration must be in force.
 const APPLY_TIME: Millis = Millis(2_000);
 
@@ -40,6 +45,8 @@
     pub path: String,
     /// Pool of the upstream.
     pub pool: &'static str,
+    /// Zone of the upstream.
+    pub zone: &'static str,
     /// Id of the upstream.
     pub upstream: String,
 }
@@ -98,6 +105,8 @@
     requests: IndexMap<String, SentRequest>,
     /// When the store acknowledged that an upstream leaves, by upstream id.
     leaving: IndexMap<String, Millis>,
+    /// When the store acknowledged that a zone is evacuated, by zone.
+    evacuated: IndexMap<&'static str, Millis>,
     /// When the store acknowledged each configuration, and its pool for `/moves/`.
     configs: Vec<(Millis, &'static str)>,
     /// Faults by the name of the process, the upstream id or [`STORE`].
@@ -121,6 +130,16 @@
         self.leaving.insert(upstream.to_string(), now);
     }
 
+    /// Records that the store acknowledged the evacuation of a zone.
+    pub fn on_evacuated(&mut self, now: Millis, zone: &'static str) {
+        self.evacuated.insert(zone, now);
+    }
+
+    /// Records that an evacuation is about to be revoked.
+    pub fn on_revoked(&mut self, zone: &str) {
+        self.evacuated.swap_remove(zone);
+    }
+
     /// Records a fault without duration.
     pub fn on_brief_fault(&mut self, now: Millis, name: &str) {
         self.fault_state(name).last = Some(now);
@@ -203,6 +222,19 @@
             );
             self.record_violation(now, &execution.id, &what);
         }
+        let is_inside = ZONES.contains(&(execution.zone, STREAM_REGION));
+        if request.path.starts_with("/stream/") && !is_inside {
+            let what = format!("left its region for zone {}", execution.zone);
+            self.record_violation(now, &execution.id, &what);
+        }
+        let evacuated = self.evacuated.get(execution.zone).copied();
+        if is_bound && evacuated.is_some_and(|at| now > at.plus(EVACUATE_TIME)) {
+            let what = format!(
+                "reached the evacuated zone {}, from {}",
+                execution.zone, request.entry
+            );
+            self.record_violation(now, &execution.id, &what);
+        }
         if request.path.starts_with("/moves/") {
             self.check_config(now, is_bound, &request, &execution);
         }
--- a/src/soak/faults.rs
+++ b/src/soak/faults.rs
@@ -15,10 +15,12 @@
 
 use crate::net::client;
 use crate::net::rt;
+use crate::platform::standin;
 use crate::prelude::*;
 use crate::soak::Harness;
 use crate::soak::Options;
 use crate::soak::POOLS;
+use crate::soak::ZONES;
 use crate::soak::checker;
 use crate::soak::proxy::Fault;
 use crate::soak::upstream;
@@ -155,6 +157,10 @@
     let mut process_tasks: Vec<Option<Task<()>>> = harness.processes.iter().map(|_| None).collect();
     let mut version = 1;
     tasks.push(rt::spawn(restore_store(harness.clone(), seed, length)));
+    for (number, (zone, _)) in (1..).zip(ZONES) {
+        let rng = Rng::with_seed(seed ^ (number << 48));
+        tasks.push(rt::spawn(evacuate(harness.clone(), rng, zone, length)));
+    }
     while started.elapsed() < length {
         smol::Timer::after(Duration::from_millis(rng.u64(GAP_MS.0..GAP_MS.1))).await;
         let duration = Duration::from_millis(rng.u64(100..3_000));
@@ -252,6 +258,29 @@
     }
 }
 
+/// Evacuates a zone now and then, until `length` has passed: often briefly, so that the
+/// revocation overtakes the order, and else for longer than its bound.
+async fn evacuate(harness: Arc<Harness>, mut rng: Rng, zone: &'static str, length: Duration) {
+    let started = std::time::Instant::now();
+    let (key, value) = standin::evacuation(zone);
+    loop {
+        smol::Timer::after(Duration::from_millis(rng.u64(500..8_000))).await;
+        let left = length.saturating_sub(started.elapsed());
+        if left.is_zero() {
+            return;
+        }
+        let span = match rng.u32(0..2) {
+            0 => rng.u64(50..1_500),
+            _ => rng.u64(6_000..9_000),
+        };
+        harness.store.put(&key, Some(&value));
+        lock(&harness.checker).on_evacuated(harness.now(), zone);
+        smol::Timer::after(Duration::from_millis(span).min(left)).await;
+        lock(&harness.checker).on_revoked(zone);
+        harness.store.put(&key, None);
+    }
+}
+
 /// Pauses, kills, stops or signals an entry process, depending on `kind`, and
 /// brings it back after all but the last: SIGHUP, which it survives.
 async fn fault_process(harness: Arc<Harness>, index: usize, kind: u32, duration: Duration) {
@@ -303,7 +332,7 @@
         return None;
     }
     let upstream = live[rng.usize(0..live.len())].clone();
-    if let Err(error) = upstream::start(harness, pool) {
+    if let Err(error) = upstream::start(harness, pool, upstream.zone) {
         lock(&harness.checker).on_failed_start(harness.now(), pool, &error.to_string());
     }
     let harness = harness.clone();
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -32,8 +32,14 @@
 /// Names of the pools of upstreams.
 const POOLS: [&str; 2] = ["left", "right"];
 
-/// Upstreams of a pool at the start.
-const UPSTREAMS: usize = 3;
+/// Zones of the upstreams with their regions; the entries are in the first.
+pub const ZONES: [(&str, &str); 2] = [("z", "r"), ("y", "q")];
+
+/// Region to which the route `stream` is restricted: not that of the entries.
+pub const STREAM_REGION: &str = ZONES[1].1;
+
+/// Upstreams of a pool at the start, in turn in each of the zones.
+const UPSTREAMS: usize = 4;
 
 /// Time for which callers go on after the last fault, so that its late effects
 /// are observed. Longer than a configuration or a drain may take.
@@ -107,7 +113,8 @@
             route("stream", "streaming", POOLS[0]),
             route("moves", "idempotent", pool),
         ];
-        let (key, doc) = standin::config(version, &routes);
+        let (key, mut doc) = standin::config(version, &routes);
+        standin::restrict(&mut doc, "stream", &[STREAM_REGION]);
         self.store.put(key, Some(&doc));
         lock(&self.checker).on_config(self.now(), pool);
     }
@@ -171,7 +178,10 @@
         .collect();
     let mut processes = Vec::new();
     for (index, proxy) in store_proxies.iter().enumerate() {
-        let text = standin::entry_settings(ip(index + 1), &seeds, proxy.addr());
+        let mut text = standin::entry_settings(ip(index + 1), &seeds, proxy.addr());
+        for (zone, region) in &ZONES[1..] {
+            text += &standin::zone_setting(zone, region);
+        }
         processes.push(Process::new(options, ip(index + 1), &text)?);
     }
     let harness = Arc::new(Harness {
@@ -197,8 +207,9 @@
     .detach();
     harness.configure(1);
     for pool in POOLS {
-        for _ in 0..UPSTREAMS {
-            upstream::start(&harness, pool)?;
+        for number in 0..UPSTREAMS {
+            let (zone, _) = ZONES[number % ZONES.len()];
+            upstream::start(&harness, pool, zone)?;
         }
     }
     for process in &harness.processes {
--- a/src/soak/upstream.rs
+++ b/src/soak/upstream.rs
@@ -46,6 +46,8 @@
     pub id: String,
     /// Name of its pool.
     pub pool: &'static str,
+    /// Its zone.
+    pub zone: &'static str,
     /// Proxy through which all entries reach it.
     pub proxy: Proxy,
     /// Start time that it registers with, in milliseconds; changes after a crash.
@@ -55,13 +57,18 @@
 }
 
 /// Starts an upstream on a free port and registers it as ready.
-pub fn start(harness: &Arc<Harness>, pool: &'static str) -> Result<Arc<Upstream>> {
+pub fn start(
+    harness: &Arc<Harness>,
+    pool: &'static str,
+    zone: &'static str,
+) -> Result<Arc<Upstream>> {
     let listener = server::bind(SocketAddr::new(harness.ip, 0))?;
     let proxy = Proxy::start(harness.ip, proxy::local_addr(&listener)?)?;
     let number = lock(&harness.upstreams).len();
     let upstream = Arc::new(Upstream {
         id: format!("u{number}"),
         pool,
+        zone,
         proxy,
         started: Mutex::new(harness.now().0),
         unavailable: AtomicBool::new(false),
@@ -92,7 +99,8 @@
     /// Writes its registration; one that is not `ready` gets no new requests.
     fn register(&self, harness: &Harness, ready: bool) {
         let started = *lock(&self.started);
-        let doc = standin::registration(self.pool, self.proxy.addr(), started, ready);
+        let mut doc = standin::registration(self.pool, self.proxy.addr(), started, ready);
+        standin::set_zone(&mut doc, self.zone);
         harness
             .store
             .put(&standin::runner_key(&self.id), Some(&doc));
@@ -149,6 +157,7 @@
                 id: id.clone(),
                 path: path.clone(),
                 pool: self.pool,
+                zone: self.zone,
                 upstream: self.id.clone(),
             };
             lock(&harness.checker).on_execution(harness.now(), execution);
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -11,6 +11,7 @@
         id: id.to_string(),
         path: path.to_string(),
         pool,
+        zone: "z",
         upstream: "u1".to_string(),
     }
 }
@@ -78,6 +79,41 @@
     assert_eq!(checker.violations().len(), 1);
 }
 
+/// Guards against a checker that misses a request to an evacuated zone, or reports one that
+/// came in time, after the revocation or from a process that a fault kept from the store.
+#[test]
+fn evacuation_limit_applies_to_processes_without_faults() {
+    let mut checker = checker_with_request("/safe/1", 14_000);
+    let run = |checker: &mut Checker, at: u64| {
+        checker.on_execution(Millis(at), execution("a", "/safe/1", "left"));
+        checker.violations().len()
+    };
+    checker.on_evacuated(Millis(10_000), "z");
+    checker.on_evacuated(Millis(9_000), "y");
+    assert_eq!(run(&mut checker, 15_000), 0);
+    checker.on_brief_fault(Millis(15_000), "e");
+    assert_eq!(run(&mut checker, 17_900), 0);
+    assert_eq!(run(&mut checker, 18_100), 1);
+    checker.on_revoked("z");
+    assert_eq!(run(&mut checker, 18_200), 1);
+}
+
+/// Guards against a checker that misses a request outside its regions, whatever faults
+/// there are.
+#[test]
+fn requests_outside_their_regions_are_reported() {
+    let mut checker = checker_with_request("/stream/1", 100);
+    checker.on_fault_start("e");
+    let inside = Execution {
+        zone: "y",
+        ..execution("a", "/stream/1", "left")
+    };
+    checker.on_execution(Millis(110), inside);
+    assert!(checker.violations().is_empty());
+    checker.on_execution(Millis(120), execution("a", "/stream/1", "left"));
+    assert_eq!(checker.violations().len(), 1);
+}
+
 /// Guards against a checker that misses a configuration that is not in force in
 /// time, or a process that reverts to an older one.
 #[test]
