member: Catch up after a standstill before requests are sent

Cause: an entry that stood still (SIGSTOP for 3 s in the test) sent 8 of 8 requests that waited in its sockets to a zone that had been evacuated meanwhile, since they were handled before its first read; at a standstill of more than 5 s that breaks the bound. A starting entry may read an old copy from a peer that is cut off from the store. Change: the watch of the store tells for how long a process may lack changes: 1 s after a standstill of more than 2 s, and from the start until the store or a peer that reads it has confirmed the copy, 3 s at most. The entry refuses sends (503) for that time where the settings name bounds.evacuate_ms.

--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -137,8 +137,22 @@
     later.map_or_else(|| regions.clone(), |later| regions.intersect(&later))
 }
 
+/// Fails while this process may lack an evacuation, as it stood still when it was made. Off
+/// where the settings bound no evacuations.
+pub fn check_view(entry: &Entry) -> Result<()> {
+    if entry.node.settings().evacuation_bound.is_none() {
+        return Ok(());
+    }
+    let left = entry.node.cluster().watch.catch_up_left(entry.node.now());
+    left.map_or(Ok(()), |left| {
+        let detail = "this process stood still and may lack an evacuation";
+        Err(Error::new(Code::NoUpstream, detail).with_retry(left))
+    })
+}
+
 /// Fails when a request may no longer be sent to the upstream that was chosen for it.
 pub fn check_target(entry: &Entry, inbound: &InboundRequest, target: Key<Target>) -> Result<()> {
+    check_view(entry)?;
     let regions = current_regions(entry, inbound);
     if entry.placer().permits(target, &regions) {
         return Ok(());
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -261,6 +261,7 @@
             "no time is left",
         )));
     }
+    inbound::check_view(entry).map_err(mark_run)?;
     let is_repeat = attempts.runs > 0;
     entry
         .crashes
--- a/src/member/store_watch.rs
+++ b/src/member/store_watch.rs
@@ -85,6 +85,19 @@
 /// still meanwhile.
 const MAX_TICK_GAP: Millis = Millis(500);
 
+/// Longest standstill after which this process may act at once by what it knew before. The
+/// replica of an entry is complete up to about a second before it stood still, and an
+/// evacuation must be kept 5 s after it was acknowledged.
+const MAX_STANDSTILL: Millis = Millis(2_000);
+
+/// Time after a longer standstill in which the changes made meanwhile arrive: a datagram of
+/// a peer comes within 250 ms, and a fetch or a read follows it.
+const CATCH_UP: Millis = Millis(1_000);
+
+/// Longest time after the start in which what was read is not relied on until the store, or a
+/// peer that reads it, has confirmed it: a peer that is cut off passes on an old copy.
+const MAX_UNCONFIRMED: Millis = Millis(3_000);
+
 common! { key
 /// Times of one call to the store.
 pub struct Call {
@@ -132,6 +145,10 @@
     ran_at: Option<Millis>,
     /// Start and end of the last time in which this process stood still.
     standstill: Option<(Millis, Millis)>,
+    /// When this process first ran.
+    began_at: Option<Millis>,
+    /// End of the last long standstill.
+    woke_at: Option<Millis>,
 }
 
 impl StoreWatch {
@@ -146,8 +163,26 @@
     pub fn on_tick(&mut self, now: Millis) {
         if let Some(at) = self.ran_at.filter(|at| now.since(*at) > MAX_TICK_GAP) {
             self.standstill = Some((at, now));
+            if now.since(at) > MAX_STANDSTILL {
+                self.woke_at = Some(now);
+            }
         }
         self.ran_at = Some(now);
+        self.began_at.get_or_insert(now);
+    }
+
+    /// Returns the time for which this process may lack changes that were made while it
+    /// stood still, or before it started; none when it has caught up.
+    pub fn catch_up_left(&self, now: Millis) -> Option<Millis> {
+        // A request may be handled before the first tick after a standstill.
+        if self.ran_at.is_some_and(|at| now.since(at) > MAX_STANDSTILL) {
+            return Some(CATCH_UP);
+        }
+        let start_end = self.began_at.map(|at| at.plus(MAX_UNCONFIRMED));
+        let start_end = start_end.filter(|_| self.complete_at.is_none());
+        let wake_end = self.woke_at.map(|at| at.plus(CATCH_UP));
+        let left = start_end.max(wake_end)?.since(now);
+        (left > Millis(0)).then_some(left)
     }
 
     /// Returns when this process stood still first during a call that was made at `asked`.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -51,6 +51,9 @@
     pub grace: Millis,
     /// Time within which a new version of weights must be in use everywhere.
     pub rollout_bound: Millis,
+    /// Time within which an evacuated zone must get nothing new; none where zones are not
+    /// evacuated.
+    pub evacuation_bound: Option<Millis>,
     /// Repeated sends allowed in the window, as a share of the requests in it.
     pub retry_ratio: f64,
     /// Number of repeated sends allowed in the window beyond that share.
@@ -160,6 +163,7 @@
         drain: Millis(fields.or("bounds.drain_ms", 2_000)?),
         grace: Millis((fields.or("bounds.grace_s", 8.0)? * 1_000.0) as u64),
         rollout_bound: Millis(fields.or("bounds.version_ms", 8_000)?),
+        evacuation_bound: fields.optional("bounds.evacuate_ms")?.map(Millis),
         retry_ratio: fields.or("bounds.retry_ratio", 0.2)?,
         retry_slack: fields.or("bounds.retry_slack", 0.0)?,
         retry_window: Millis((fields.or("bounds.retry_window_s", 10.0)? * 1_000.0) as u64),
--- a/tests/evacuate_entry.rs
+++ b/tests/evacuate_entry.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::time::Duration;
 
 use chervilquay::error::Code;
 use chervilquay::error::Error;
@@ -231,6 +232,42 @@
     assert_eq!(setup.counts(), [before[0], before[1] + 1, before[2]]);
 }
 
+/// Guards against an entry that stood still while a zone was evacuated and sends to it when it
+/// runs again, before it has heard of the evacuation; and against the same refusals where the
+/// settings bound no evacuations.
+#[test]
+fn entry_that_stood_still_catches_up_first() {
+    for (last, bound) in [(8, "bounds.evacuate_ms=5000\n"), (9, "")] {
+        let setup = Setup::new(last, |_| {});
+        let seed = SocketAddr::from((setup.ip, 18_000));
+        let settings = format!("{ZONES}{bound}");
+        let entry = Entry::start_with(setup.ip, &[seed], setup.addr, &settings);
+        entry.until_ready();
+        setup.send(&entry, "/safe/1", 3);
+        entry.signal("-STOP");
+        std::thread::sleep(Duration::from_millis(3_000));
+        if !bound.is_empty() {
+            setup.store.put("op/evacuate/z", &json!({}));
+        }
+        let before = setup.counts();
+        let connect = |n| {
+            let mut caller = TcpStream::connect(entry.callers).expect("a connection");
+            let text = request("POST", "/safe/1", &format!("b{n}"), "");
+            caller.write_all(text.as_bytes()).expect("a request");
+            caller
+        };
+        let mut callers: Vec<TcpStream> = (0..8).map(connect).collect();
+        entry.signal("-CONT");
+        let answers = callers.iter_mut().map(prepared::read_message);
+        let answers: Vec<Message> = answers.map(|a| a.expect("an answer")).collect();
+        match bound {
+            "" => assert!(answers.iter().all(|a| a.status() == 200)),
+            _ => assert_eq!(setup.counts()[0], before[0]),
+        }
+        until(|| setup.send(&entry, "/safe/1", 1).1[0].status() == 200);
+    }
+}
+
 /// Guards against a request that is written although its zone was evacuated while its
 /// connection was opened, and against a connection that is lost with it.
 #[test]
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -220,3 +220,39 @@
         assert!((1..=4).contains(&reading), "{reading} read after {late} ms");
     }
 }
+
+/// Guards against a process that acts by an old view after a long standstill, also before its
+/// first tick, and against one that is held up by short pauses or for longer than it needs.
+#[test]
+fn long_standstill_needs_catching_up() {
+    let mut watch = StoreWatch::default();
+    watch.on_complete(Millis(9_000));
+    for now in [10_000, 10_200, 12_200] {
+        watch.on_tick(Millis(now));
+        assert_eq!(watch.catch_up_left(Millis(now + 100)), None);
+    }
+    assert!(watch.catch_up_left(Millis(14_300)).is_some(), "no tick yet");
+    watch.on_tick(Millis(14_300));
+    // A short standstill follows.
+    watch.on_tick(Millis(14_900));
+    assert_eq!(watch.catch_up_left(Millis(15_000)), Some(Millis(300)));
+    watch.on_tick(Millis(15_300));
+    assert_eq!(watch.catch_up_left(Millis(15_300)), None);
+}
+
+/// Guards against a process that acts at its start by an old copy from a peer that is cut off
+/// from the store, and against one that never acts when nobody reaches the store.
+#[test]
+fn start_is_confirmed_first() {
+    let mut watch = StoreWatch::default();
+    watch.on_tick(Millis(10_000));
+    watch.on_progress();
+    assert_eq!(watch.catch_up_left(Millis(10_500)), Some(Millis(2_500)));
+    let mut confirmed = watch;
+    confirmed.on_complete(Millis(10_600));
+    confirmed.on_tick(Millis(10_600));
+    assert_eq!(confirmed.catch_up_left(Millis(10_600)), None);
+    watch.on_tick(Millis(11_500));
+    watch.on_tick(Millis(13_000));
+    assert_eq!(watch.catch_up_left(Millis(13_000)), None);
+}
