--- a/src/rollout/precedence.rs
+++ b/src/rollout/precedence.rs
@@ -2,14 +2,14 @@
 //! one before has been loaded.
 //!
 //! It is made for versions that are named a few seconds apart while the origin is away. No
-//! upstream may serve once the version that it holds has expired, so the version of which
-//! most has arrived is worth loading although a newer one is wanted.
+//! upstream may serve once the version that it holds has expired, so a complete version is
+//! worth loading although a newer one is wanted.
 
 use crate::prelude::*;
 use crate::rollout::pieces::Pieces;
 
 /// Time before the expiry of the held version from which the version before the newest is
-/// loaded if more of it has arrived. The pieces of a version take about as long to arrive.
+/// loaded if only that is complete. The pieces of a version take about as long to arrive.
 const EXPIRY_LEAD: Millis = Millis(3_000);
 
 /// What an upstream holds, as far as the choice depends on it.
@@ -22,24 +22,22 @@
 }
 
 impl Held {
-    /// Returns true while the pieces of `previous` are pulled beside those of `newest`:
-    /// while the newest is stuck, or when at least half of the previous have arrived, so
-    /// that the rest takes little of the links.
+    /// Returns true while the pieces of `previous` are pulled too: while the newest is
+    /// stuck. Beside pieces that flow they would delay both versions.
     pub fn keeps_pulling(&self, now: Millis, previous: &Pieces, newest: &Pieces) -> bool {
-        let is_half = 2 * previous.count() >= previous.digests().pieces.len();
-        self.is_older_than(previous) && (newest.is_stuck(now) || is_half)
+        self.is_older_than(previous) && newest.is_stuck(now)
     }
 
     /// Returns true when `previous` is to be staged and loaded before `newest`: while the
-    /// newest is stuck, or when the held version expires soon and more of the previous has
-    /// arrived.
+    /// newest is stuck, or when the held version expires soon and only the previous is
+    /// complete.
     pub fn prefers(&self, now: Millis, previous: &Pieces, newest: &Pieces) -> bool {
         let expires_soon = match (self.version, self.expiry) {
             (None, _) => true,
             (_, Some(at)) => at.since(now) < EXPIRY_LEAD,
             (_, None) => false,
         };
-        let leads = previous.count() > newest.count();
+        let leads = previous.is_complete() && !newest.is_complete();
         self.is_older_than(previous) && (newest.is_stuck(now) || (expires_soon && leads))
     }
 
