route: Let a zone that refuses more use the runners of others

An agent reports to four entries of each other zone, and entries use runners of other zones only within the usual bound of the wait, less the penalty of the link. So the zone with the least capacity was served worst. Entries now compare the served share of their zone with those of others. A request that would be refused goes to a zone that serves more, if it can be in time there, also to runners that do not report here; in a pool of several ranks, the entries of that zone refuse up to a quarter of their requests for it.

Also keeps short return times where fewer than 20 requests were offered, or no upstream is known: neither shows a load above the capacity. Told times end at 0.325 of the patience, as callers count what is left when they read it.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -528,13 +528,15 @@
         let after = error.retry?;
         let now = self.node.now();
         let spent = waiting.map_or(0.0, |w| now.since(w.since).0 as f64);
+        // Without an upstream, the load says nothing about when there is one.
+        let pool = waiting
+            .filter(|_| error.code == Code::Overloaded)
+            .map(|w| lock(&self.admission).pool_state(now, w.pool));
         let refused = Refused {
+            pool: pool.unwrap_or_default(),
             after,
             patience: waiting.map(|w| w.time_left - spent),
             timely: returns::timely_return(waiting.map_or(0.0, |w| w.slack - spent)),
-            pool: waiting.map_or_else(PoolState::default, |w| {
-                lock(&self.admission).pool_state(now, w.pool)
-            }),
         };
         let mut rng = fastrand::Rng::new();
         Some(lock(&self.returns).plan(now, &refused, &mut rng))
--- a/src/retry/returns.rs
+++ b/src/retry/returns.rs
@@ -16,9 +16,9 @@
 /// Length of a time slot.
 const SLOT: Millis = Millis(100);
 
-/// Longest time until a refused caller retries, as a part of its patience. Callers
-/// ignore a longer one.
-const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
+/// Longest time until a refused caller retries, as a part of its patience. Callers wait
+/// for at most a third of what is left of it when the refusal arrives.
+const MAX_RETRY_SHARE: f64 = 0.325;
 
 /// Least time after which a refused caller retries. Nine runners free a place
 /// every dozen milliseconds, and a caller that retries soon can still be on
--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -41,6 +41,10 @@
 /// Share of the requests served below which the load of a pool lies above its capacity.
 const OVERLOAD_SHARE: f64 = 0.95;
 
+/// Requests from which on the served share shows a load above the capacity. With fewer, a
+/// refusal is more likely due to a fault that ends soon.
+const MIN_OFFERED: f64 = 20.0;
+
 /// Share of the admitted requests that is kept for callers who return in time for their
 /// objective while the load lasts.
 const RETURN_SHARE: f64 = 0.1;
@@ -64,9 +68,13 @@
 
 /// Lead in the served share of another zone from which its unreported upstreams are used,
 /// and the further lead at which they are used for every request.
-const ZONE_LEAD: f64 = 0.03;
+const ZONE_LEAD: f64 = 0.01;
 const ZONE_BAND: f64 = 0.15;
 
+/// Largest probability with which requests are refused for callers of another zone. These
+/// may be unable to use the upstreams here, as when their regions exclude them.
+const MAX_ZONE_REFUSAL: f64 = 0.25;
+
 common! { key
 /// Requests of one route and rank to one pool.
 pub struct KindId {
@@ -264,30 +272,51 @@
         self.zones.insert(zone.to_string(), (now, counts));
     }
 
-    /// Returns the zones that refuse fewer requests to a pool than this one, with the
-    /// probability at which unreported upstreams there are used.
-    fn open_zones(&self, now: Millis, pool: u64) -> Vec<(String, f64)> {
+    /// Returns the difference of the served share of each other zone to that of this one,
+    /// for a pool, with the served share of that zone.
+    fn zone_leads(&self, now: Millis, pool: u64) -> (Counts, Vec<(&str, Counts)>) {
+        let mut own = Counts::default();
         if self.zones.is_empty() {
-            return Vec::new();
+            return (own, Vec::new());
         }
-        let mut own = Counts::default();
         let sums = self.zone_counts(now, pool);
         sums.values().for_each(|counts| own.add(counts));
-        if own.share() >= OVERLOAD_SHARE {
-            return Vec::new();
-        }
         let fresh = self.zones.iter();
         let fresh = fresh.filter(|(_, (at, _))| now.since(*at) < ZONE_EXPIRY);
-        let leads = fresh.map(|(zone, (_, counts))| {
+        let zones = fresh.map(|(zone, (_, counts))| {
             let mut all = Counts::default();
             let counts = counts.iter().filter(|(kind, _)| kind.pool == pool);
             counts.for_each(|(_, held)| all.add(held));
-            let lead = (all.share() - own.share() - ZONE_LEAD) / ZONE_BAND;
-            (zone.clone(), lead.clamp(0.0, 1.0))
+            (zone.as_str(), all)
+        });
+        (own, zones.collect())
+    }
+
+    /// Returns the zones that refuse fewer requests to a pool than this one, with the
+    /// probability at which their upstreams are used beyond the usual wait.
+    fn open_zones(&self, now: Millis, pool: u64) -> Vec<(String, f64)> {
+        let (own, zones) = self.zone_leads(now, pool);
+        if own.share() >= OVERLOAD_SHARE {
+            return Vec::new();
+        }
+        let leads = zones.iter().map(|(zone, counts)| {
+            let lead = (counts.share() - own.share() - ZONE_LEAD) / ZONE_BAND;
+            (zone.to_string(), lead.clamp(0.0, 1.0))
         });
         leads.filter(|(_, chance)| *chance > 0.0).collect()
     }
 
+    /// Returns the probability with which requests are refused as another zone refuses
+    /// more, so that its callers find room at the upstreams of this one.
+    fn zone_refusal(&self, now: Millis, pool: u64) -> f64 {
+        let (own, zones) = self.zone_leads(now, pool);
+        let refusals = zones.iter().map(|(_, counts)| {
+            let lead = (own.share() - counts.share() - ZONE_LEAD) / ZONE_BAND;
+            counts.refused_degree() * lead.clamp(0.0, 1.0)
+        });
+        refusals.fold(0.0, f64::max) * MAX_ZONE_REFUSAL
+    }
+
     /// Returns the counts of this entry, for [`Admission::on_peer`] of the others.
     pub fn counts(&self, now: Millis) -> Vec<(KindId, Counts)> {
         let factor = self.decay_factor(now);
@@ -348,6 +377,8 @@
                 allowance.slack_cap = allowance.slack_cap.min(counts.objective);
             }
         }
+        let zone_refusal = self.zone_refusal(now, kind.pool);
+        allowance.refuse = 1.0 - (1.0 - allowance.refuse) * (1.0 - zone_refusal);
         allowance
     }
 
@@ -372,7 +403,7 @@
         let fresh = fresh.filter(|(at, _)| now.since(*at) < PEER_EXPIRY);
         let rate = all.admitted * std::f64::consts::LN_2 / HALF_LIFE_MS * 1_000.0;
         PoolState {
-            overloaded: all.share() < OVERLOAD_SHARE,
+            overloaded: all.offered >= MIN_OFFERED && all.share() < OVERLOAD_SHARE,
             return_rate: RETURN_SHARE * rate / (1 + fresh.count()) as f64,
         }
     }
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -44,6 +44,13 @@
     }
 }
 
+/// Returns true when a request with this prediction is expected to be in time, however
+/// long it waits.
+pub fn is_on_time(profile: &RequestProfile, first_ms: f64) -> bool {
+    let slack = profile.slack_ms;
+    slack.is_some_and(|slack| first_ms <= OBJECTIVE_SHARE * slack)
+}
+
 /// Returns true when the best prediction is good enough to use a slot.
 ///
 /// A request that can be on time may wait for a slot. The wait allowed is shorter
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -484,7 +484,10 @@
         self.add_unseen(now, profile, work_ms, &mut found);
         let best = least_predicted(&found);
         if !profile.allowance.open_zones.is_empty() && !admit::is_timely(profile, best) {
-            if let Some(choice) = self.choose_unreported(now, profile, &unreported) {
+            let known = found.iter().map(|c| Candidate { ..*c });
+            unreported
+                .extend(known.filter(|c| self.targets.get(c.target).is_some_and(|t| t.remote)));
+            if let Some(choice) = self.choose_elsewhere(now, profile, &unreported) {
                 return choice;
             }
         }
@@ -517,39 +520,39 @@
         }
     }
 
-    /// Chooses an unreported upstream of a zone that refuses less than the own one, if the
-    /// request can be in time there.
+    /// Chooses an upstream of a zone that refuses less than the own one, if the request can
+    /// be in time there. The wait is not bounded further: entries of that zone come first
+    /// by the penalty of the link, and hold back for this one.
     ///
-    /// How many calls such an upstream has is not known. Its slots are taken as full and its
-    /// queue as empty, as in a zone that refuses hardly anything. When they get too many
-    /// requests, the entries of that zone refuse more and this one turns to it less often.
-    fn choose_unreported(
+    /// How many calls an unreported upstream has is not known. Its slots are taken as full
+    /// and its queue as empty. When such upstreams get too many requests, the entries of
+    /// their zone refuse more, and this one turns to them less often.
+    fn choose_elsewhere(
         &mut self,
         now: Millis,
         profile: &RequestProfile,
-        unreported: &[Candidate<Target>],
+        candidates: &[Candidate<Target>],
     ) -> Option<Choice> {
         let zones = &profile.allowance.open_zones;
         let (zone, chance) = zones.get(self.rng.usize(0..zones.len().max(1)))?;
         if self.rng.f64() >= *chance {
             return None;
         }
-        let candidates = unreported.iter().filter_map(|c| {
+        let candidates = candidates.iter().filter_map(|c| {
             let target = self.targets.get(c.target)?;
-            let unseen = target.free_slots(now).max(0.0);
-            (target.registration.zone == *zone).then(|| Candidate {
-                target: c.target,
-                first_ms: target.predict_first(now, profile, 0.0, unseen),
-                unseen,
-                added: 0.0,
-            })
+            let mut candidate = Candidate { ..*c };
+            if target.is_unreported(now) {
+                let unseen = target.free_slots(now).max(0.0);
+                candidate.first_ms = target.predict_first(now, profile, 0.0, unseen);
+            }
+            (target.registration.zone == *zone).then_some(candidate)
         });
         let candidates: Vec<Candidate<Target>> = candidates.collect();
         let index = spread::draw(&candidates, &mut self.rng)?;
         let Candidate {
             target, first_ms, ..
         } = *candidates.get(index)?;
-        admit::is_timely(profile, first_ms).then_some(Choice::Send { target, first_ms })
+        admit::is_on_time(profile, first_ms).then_some(Choice::Send { target, first_ms })
     }
 
     /// Adds the calls that other entries of the zone are expected to have started
