route: Add up the counts of a zone once for a request

The standing of a request added up the counts of all kinds at all entries of the zone three times: for the shares of kinds, for the zones that refuse less and for those that refuse more. An entry has a quarter of a core, so the sums are now made once and passed on. Decisions do not change: tests/admission.rs, return_times.rs and the place_* tests pass as before (11, 5 and 31 tests).

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -51,7 +51,6 @@
 use crate::retry::Returns;
 use crate::retry::WindowBudget;
 use crate::retry::returns;
-use crate::retry::returns::PoolState;
 use crate::retry::returns::Refused;
 use crate::route::admission::Admission;
 use crate::route::admission::Offer;
--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -111,6 +111,13 @@
         ((none - self.share()) / (none - full)).clamp(0.0, 1.0)
     }
 
+    /// Adds up the counts of several kinds.
+    fn sum<'a>(counts: impl Iterator<Item = &'a Counts>) -> Counts {
+        let mut all = Counts::default();
+        counts.for_each(|held| all.add(held));
+        all
+    }
+
     fn add(&mut self, other: &Counts) {
         self.offered += other.offered;
         self.admitted += other.admitted;
@@ -171,6 +178,9 @@
     pub allowance: Allowance,
 }
 
+/// Counts of the kinds of a pool.
+pub type KindCounts = IndexMap<KindId, Counts>;
+
 /// Counts of one entry, and the latest counts of the other entries of its zone.
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
@@ -204,13 +214,14 @@
             sizes.on_request(now, offer.weight, offer.usual);
         }
         let (large_weight, large_preference) = (sizes.large_weight(), sizes.large_preference());
+        let sums = self.zone_counts(now, offer.kind.pool);
         let mut allowance = if offer.returning {
             self.returning_allowance(now, offer.kind.pool)
         } else {
             self.recent(now, offer.kind.pool).offered += 1.0;
-            self.allowance(now, offer.kind)
+            self.new_allowance(now, offer.kind, &sums)
         };
-        allowance.open_zones = self.open_zones(now, offer.kind.pool);
+        allowance.open_zones = self.open_zones(now, offer.kind.pool, &sums);
         Standing {
             large_weight,
             large_preference,
@@ -272,34 +283,24 @@
         self.zones.insert(zone.to_string(), (now, counts));
     }
 
-    /// Returns the difference of the served share of each other zone to that of this one,
-    /// for a pool, with the served share of that zone.
-    fn zone_leads(&self, now: Millis, pool: u64) -> (Counts, Vec<(&str, Counts)>) {
-        let mut own = Counts::default();
-        if self.zones.is_empty() {
-            return (own, Vec::new());
-        }
-        let sums = self.zone_counts(now, pool);
-        sums.values().for_each(|counts| own.add(counts));
+    /// Returns the counts of the other zones for a pool.
+    fn other_zones(&self, now: Millis, pool: u64) -> impl Iterator<Item = (&str, Counts)> {
         let fresh = self.zones.iter();
-        let fresh = fresh.filter(|(_, (at, _))| now.since(*at) < ZONE_EXPIRY);
-        let zones = fresh.map(|(zone, (_, counts))| {
-            let mut all = Counts::default();
+        let fresh = fresh.filter(move |(_, (at, _))| now.since(*at) < ZONE_EXPIRY);
+        fresh.map(move |(zone, (_, counts))| {
             let counts = counts.iter().filter(|(kind, _)| kind.pool == pool);
-            counts.for_each(|(_, held)| all.add(held));
-            (zone.as_str(), all)
-        });
-        (own, zones.collect())
+            (zone.as_str(), Counts::sum(counts.map(|(_, held)| held)))
+        })
     }
 
     /// Returns the zones that refuse fewer requests to a pool than this one, with the
     /// probability at which their upstreams are used beyond the usual wait.
-    fn open_zones(&self, now: Millis, pool: u64) -> Vec<(String, f64)> {
-        let (own, zones) = self.zone_leads(now, pool);
+    fn open_zones(&self, now: Millis, pool: u64, sums: &KindCounts) -> Vec<(String, f64)> {
+        let own = Counts::sum(sums.values());
         if own.share() >= OVERLOAD_SHARE {
             return Vec::new();
         }
-        let leads = zones.iter().map(|(zone, counts)| {
+        let leads = self.other_zones(now, pool).map(|(zone, counts)| {
             let lead = (counts.share() - own.share() - ZONE_LEAD) / ZONE_BAND;
             (zone.to_string(), lead.clamp(0.0, 1.0))
         });
@@ -308,9 +309,9 @@
 
     /// Returns the probability with which requests are refused as another zone refuses
     /// more, so that its callers find room at the upstreams of this one.
-    fn zone_refusal(&self, now: Millis, pool: u64) -> f64 {
-        let (own, zones) = self.zone_leads(now, pool);
-        let refusals = zones.iter().map(|(_, counts)| {
+    fn zone_refusal(&self, now: Millis, pool: u64, sums: &KindCounts) -> f64 {
+        let own = Counts::sum(sums.values());
+        let refusals = self.other_zones(now, pool).map(|(_, counts)| {
             let lead = (own.share() - counts.share() - ZONE_LEAD) / ZONE_BAND;
             counts.refused_degree() * lead.clamp(0.0, 1.0)
         });
@@ -339,11 +340,11 @@
     }
 
     /// Returns the counts of the kinds of a pool at all entries of the zone.
-    pub fn zone_counts(&self, now: Millis, pool: u64) -> IndexMap<KindId, Counts> {
+    pub fn zone_counts(&self, now: Millis, pool: u64) -> KindCounts {
         let fresh = self.peers.values();
         let fresh = fresh.filter(|(at, _)| now.since(*at) < PEER_EXPIRY);
         let peers = fresh.flat_map(|(_, counts)| counts.iter().map(|(kind, held)| (kind, held)));
-        let mut sums: IndexMap<KindId, Counts> = IndexMap::new();
+        let mut sums = KindCounts::new();
         for (kind, held) in self.own.iter().chain(peers) {
             if kind.pool == pool {
                 sums.entry(*kind).or_default().add(held);
@@ -356,7 +357,10 @@
     ///
     /// Pools with requests of only one rank are not restricted.
     pub fn allowance(&self, now: Millis, kind: KindId) -> Allowance {
-        let sums = self.zone_counts(now, kind.pool);
+        self.new_allowance(now, kind, &self.zone_counts(now, kind.pool))
+    }
+
+    fn new_allowance(&self, now: Millis, kind: KindId, sums: &KindCounts) -> Allowance {
         let mut allowance = Allowance::default();
         let Some(own) = sums.get(&kind) else {
             return allowance;
@@ -364,7 +368,7 @@
         if sums.keys().all(|other| other.rank == kind.rank) {
             return allowance;
         }
-        for (other, counts) in &sums {
+        for (other, counts) in sums {
             if other == &kind || other.rank > kind.rank {
                 continue;
             }
@@ -377,7 +381,7 @@
                 allowance.slack_cap = allowance.slack_cap.min(counts.objective);
             }
         }
-        let zone_refusal = self.zone_refusal(now, kind.pool);
+        let zone_refusal = self.zone_refusal(now, kind.pool, sums);
         allowance.refuse = 1.0 - (1.0 - allowance.refuse) * (1.0 - zone_refusal);
         allowance
     }
@@ -397,8 +401,7 @@
     /// Returns the state of a pool, by which refused callers are told when to return.
     pub fn pool_state(&self, now: Millis, pool: u64) -> PoolState {
         let sums = self.zone_counts(now, pool);
-        let mut all = Counts::default();
-        sums.values().for_each(|counts| all.add(counts));
+        let all = Counts::sum(sums.values());
         let fresh = self.peers.values();
         let fresh = fresh.filter(|(at, _)| now.since(*at) < PEER_EXPIRY);
         let rate = all.admitted * std::f64::consts::LN_2 / HALF_LIFE_MS * 1_000.0;
