route: Learn the output of generations by kind of request

Cause: the expected output of a request was the geometric mean of the caller's estimate and the usual output of the pool, whatever its organisation and prompt template had got before, so requests that look alike counted the same. Change: route/estimate keeps decaying histograms by route, model, organisation and shared parts, weighs the caller's estimate by what it has said about the truth, takes cut-off streams as censored, and drops what was seen before a shift. Entries of a zone tell each other up to eight groups a second in their datagrams (tag 25). Without observations the result is the same as before.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -49,6 +49,7 @@
 use crate::retry::Refusal;
 use crate::retry::Refusals;
 use crate::retry::WindowBudget;
+use crate::route::estimate::Estimates;
 use crate::route::placement::Call;
 use crate::route::placement::Placer;
 use crate::route::profile::RequestProfile;
@@ -120,6 +121,8 @@
     pub(super) refusals: Mutex<Refusals>,
     /// Counts of request sizes, by route.
     sizes: Mutex<IndexMap<String, SizeFairness>>,
+    /// What was learned of the cost of requests.
+    pub(super) estimates: Mutex<Estimates>,
     /// Memory for answers that are read whole.
     pub(super) answer_memory: Arc<MemoryBudget>,
 }
@@ -191,6 +194,7 @@
             clients: Mutex::default(),
             refusals: Mutex::default(),
             sizes: Mutex::default(),
+            estimates: Mutex::default(),
             answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -1,6 +1,7 @@
 //! What an entry adds to its datagrams, and what it reads from those of others.
 
 use crate::direct::entry::Entry;
+use crate::direct::forecasts;
 use crate::direct::wire::Datagram;
 use crate::direct::wire::LimitDoc;
 use crate::direct::wire::LoadDoc;
@@ -31,6 +32,7 @@
             unread: unread as u32,
         })
         .collect();
+    forecasts::add(entry, now, datagram);
     let recent = lock(&entry.refusals).recent(now);
     datagram.refused = recent.iter().map(|r| RefusedDoc::new(now, r)).collect();
 }
@@ -62,6 +64,7 @@
             .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
             .collect();
         entry.placer().on_loads(now, &datagram.name, &loads);
+        forecasts::receive(entry, now, datagram);
     }
     if let Some(doc) = &datagram.status {
         entry.placer().on_status(&doc.upstream, status(now, doc));
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::direct::entry::Entry;
+use crate::direct::forecasts;
 use crate::gate::Signatures;
 use crate::gate::suspect;
 use crate::net::body;
@@ -15,8 +16,9 @@
 use crate::platform::headers;
 use crate::platform::headers::CallerHeaders;
 use crate::prelude::*;
-use crate::route::engine::Engine;
 use crate::route::engine::Size;
+use crate::route::estimate::Forecast;
+use crate::route::estimate::Kind;
 use crate::route::profile::RequestProfile;
 use crate::table::routing::Organisation;
 use crate::table::routing::Route;
@@ -52,6 +54,10 @@
     pub deadline: Millis,
     /// What the placement needs to know to choose an upstream.
     pub profile: RequestProfile,
+    /// Groups of alike requests that it belongs to.
+    pub kind: Kind,
+    /// Forecast of its output, in tokens.
+    pub forecast: Forecast,
     /// Hash that identifies the request over its attempts and entries.
     pub fingerprint: Fingerprint,
     /// What it has in common with other requests that may crash upstreams.
@@ -98,11 +104,14 @@
     let owner = call.credential.as_deref().unwrap_or_default();
     let fingerprint = suspect::fingerprint(owner, parts.method.as_str(), &target, &body);
     let time_lost = entry.time_lost(&fingerprint, arrived, call.time_left);
-    let profile = profile(entry, &routing, &route, &call, time_lost, patience)?;
+    let kind = forecasts::kind(&route, organisation.as_deref(), &call);
+    let (profile, forecast) = profile(entry, &routing, &route, &call, &kind, time_lost, patience)?;
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
         profile,
+        kind,
+        forecast,
         fingerprint,
         signatures,
         call,
@@ -146,16 +155,17 @@
     Ok(known.cloned())
 }
 
-/// Describes a request for the placement. `time_lost` is lost at earlier
+/// Describes a request for the placement, with the forecast of its output. `time_lost` is lost at earlier
 /// attempts, `patience` the time that the caller waits, in milliseconds.
 fn profile(
     entry: &Entry,
     routing: &Routing,
     route: &Route,
     call: &CallerHeaders,
+    kind: &Kind,
     time_lost: Millis,
     patience: u64,
-) -> Result<RequestProfile> {
+) -> Result<(RequestProfile, Forecast)> {
     let pool = route.pool(&call.id).ok_or_else(|| {
         Error::new(
             Code::NoUpstream,
@@ -164,15 +174,16 @@
     })?;
     let engine = routing.pool(pool).and_then(|p| p.engine.as_deref());
     let stated = call.size.unwrap_or_default();
+    let forecast = forecasts::output(entry, engine, kind, stated.output, call.estimate);
     let size = Size {
-        output: output(engine, stated.output, call.estimate),
+        output: forecast.mean(),
         ..stated
     };
     let left = route.objective.0 as f64 - time_lost.0 as f64 - OBJECTIVE_MARGIN_MS;
     let read_ms = engine.map_or(0.0, |e| e.read_ms(size.prompt));
     let usual = engine.map_or(1.0, |e| e.usual.weight());
     let (large, large_preference) = entry.count_offered(route, time_lost, size.weight(), usual);
-    Ok(RequestProfile {
+    let profile = RequestProfile {
         pool: pool.to_string(),
         model: call.model.clone().filter(|_| engine.is_some()),
         min_version: 0,
@@ -184,20 +195,6 @@
         value_density: engine.map_or(1.0, |e| e.value_density(size)),
         relative_size: size.weight() / large,
         large_preference,
-    })
-}
-
-/// Returns the expected output of a request, in tokens; `longest` is the longest
-/// answer that the caller allows, 0 when it does not say.
-///
-/// The caller's estimate is right only at the median, so the geometric mean of it
-/// and the usual output is taken.
-fn output(engine: Option<&Engine>, longest: f64, estimate: Option<f64>) -> f64 {
-    let usual = engine.map_or(0.0, |e| e.usual.output);
-    let expected = estimate.map_or(usual, |tokens| (tokens.max(1.0) * usual).sqrt());
-    if longest > 0.0 {
-        expected.min(longest)
-    } else {
-        expected
-    }
+    };
+    Ok((profile, forecast))
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,6 +11,7 @@
 pub mod decision_log;
 pub mod entry;
 pub mod entry_gossip;
+pub mod forecasts;
 pub mod gossip;
 pub mod inbound;
 pub mod node;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::direct::decision_log::Kind;
 use crate::direct::entry::Entry;
+use crate::direct::forecasts;
 use crate::direct::inbound::InboundRequest;
 use crate::direct::send;
 use crate::direct::send::AnswerContent;
@@ -51,7 +52,7 @@
     attempts.targets.push(stream.target);
     let frames = async_stream::stream! {
         let first_at = entry.node.now();
-        let mut relay = Relay { entry, inbound, attempts, last_event: None, first_at, last_at: first_at, longest_pause: Millis(0), bytes_since: None, repeated_bytes: 0, is_over: false };
+        let mut relay = Relay { entry, inbound, attempts, last_event: None, events: 0, first_at, last_at: first_at, longest_pause: Millis(0), bytes_since: None, repeated_bytes: 0, is_over: false };
         let mut stream = stream;
         loop {
             for event in std::mem::take(&mut stream.events) {
@@ -116,6 +117,8 @@
     attempts: Attempts,
     /// Id of the last event that was passed on.
     last_event: Option<u64>,
+    /// Events that were passed on.
+    events: u64,
     /// When the first event was passed on.
     first_at: Millis,
     /// When the last new event was passed on.
@@ -133,6 +136,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.is_over {
+            forecasts::learn_stream(&self.entry, &self.inbound, self.events, false);
             self.entry.record_disconnect(&self.inbound, self.last_event);
         }
     }
@@ -157,6 +161,7 @@
         self.longest_pause = self.longest_pause.max(now.since(self.last_at));
         self.last_at = now;
         self.reset_event_limits();
+        self.events += u64::from(!event.is_comment());
         let Some(id) = event.id else {
             return Ok(true);
         };
@@ -387,6 +392,7 @@
         if let Some((client, kept)) = stream.connection.take() {
             client.give_back(kept);
         }
+        forecasts::learn_stream(&self.entry, &self.inbound, self.events, true);
         let first = self.first_at.since(self.inbound.arrived);
         self.entry
             .record_stream(&self.inbound, &self.attempts, first, self.longest_pause);
@@ -395,6 +401,7 @@
     /// Records a stream that ends with an error.
     fn fail(&mut self, error: &Error) {
         self.is_over = true;
+        forecasts::learn_stream(&self.entry, &self.inbound, self.events, false);
         self.entry
             .record_failure(&self.inbound, &self.attempts, error);
     }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -15,6 +15,7 @@
 use crate::rollout::versions::Dating;
 use crate::rollout::versions::NamedVersion;
 use crate::rollout::versions::Naming;
+use crate::route::estimate::Summary;
 use crate::route::rate_share::Statement;
 use crate::table::packing;
 use crate::table::packing::Packed;
@@ -98,6 +99,9 @@
     /// Era of the store to which `revision` belongs.
     #[prost(uint64, tag = "24")]
     pub era: u64,
+    /// What an entry has observed of the cost of requests.
+    #[prost(message, repeated, tag = "25")]
+    pub estimates: Vec<SummaryDoc>,
 }
 
 impl Datagram {
@@ -166,6 +170,60 @@
     pub unread: u32,
 }
 
+/// Observations of an entry on one group of requests; see [`Summary`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SummaryDoc {
+    /// The group.
+    #[prost(fixed64, tag = "1")]
+    pub group: u64,
+    /// Number of the latest observation among all of the entry.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Weight of all observations, in sixteenths.
+    #[prost(uint32, tag = "3")]
+    pub weight: u32,
+    /// Weight of those with a caller's estimate, in sixteenths.
+    #[prost(uint32, tag = "4")]
+    pub hinted: u32,
+    /// First bucket with a share.
+    #[prost(uint32, tag = "5")]
+    pub first: u32,
+    /// Shares of the buckets, relative to the largest as 255.
+    #[prost(bytes = "vec", tag = "6")]
+    pub shares: Vec<u8>,
+    /// Means, variances and covariance of logarithms, in hundredths.
+    #[prost(sint32, repeated, tag = "7")]
+    pub logs: Vec<i32>,
+}
+
+impl SummaryDoc {
+    /// Encodes the observations on a group.
+    pub fn new(summary: &Summary) -> SummaryDoc {
+        SummaryDoc {
+            group: summary.group,
+            number: summary.number,
+            weight: summary.weight,
+            hinted: summary.hinted,
+            first: summary.first,
+            shares: summary.shares.clone(),
+            logs: summary.logs.clone(),
+        }
+    }
+
+    /// Returns the observations.
+    pub fn to_summary(&self) -> Summary {
+        Summary {
+            group: self.group,
+            number: self.number,
+            weight: self.weight,
+            hinted: self.hinted,
+            first: self.first,
+            shares: self.shares.clone(),
+            logs: self.logs.clone(),
+        }
+    }
+}
+
 /// State of a runner.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StatusDoc {
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -70,6 +70,18 @@
 }
 
 impl Engine {
+    /// Returns the number of tokens in the first `events` events of an answer; these are all
+    /// of it when it is whole. An event holds the tokens of one pass, and the last one those
+    /// that are left.
+    pub fn tokens(&self, events: u64, is_whole: bool) -> f64 {
+        let tokens = events as f64 * self.stride;
+        if is_whole && events > 0 {
+            tokens - (self.stride - 1.0) / 2.0
+        } else {
+            tokens
+        }
+    }
+
     /// Returns the time for reading a prompt of this many tokens, in milliseconds.
     pub fn read_ms(&self, prompt: f64) -> f64 {
         let pairs = prompt * prompt / 2.0 / 1e6;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -11,6 +11,7 @@
 pub mod cost;
 pub mod eject;
 pub mod engine;
+pub mod estimate;
 pub mod hedge;
 pub mod notice;
 pub mod placement;
