route: Predict free slots from the work that is left

Cause: the prediction counted calls and assumed that a full upstream completes a usual request at a fixed interval, so upstreams with short and with long answers looked the same, and one that stood still looked idle. Change: route/work keeps sums for each upstream of prompts to read, output to write given what was written, calls that end soon, and memory; they change on send, event and end. Datagrams state them (LoadDoc tags 4 to 8); reports of earlier releases count as usual calls. One View per upstream and choice holds what predictions need. Upstreams whose memory may not suffice get nothing.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -50,6 +50,7 @@
 use crate::retry::Refusals;
 use crate::retry::WindowBudget;
 use crate::route::estimate::Estimates;
+use crate::route::estimate::Forecast;
 use crate::route::placement::Call;
 use crate::route::placement::Placer;
 use crate::route::profile::RequestProfile;
@@ -151,6 +152,26 @@
         self.entry.placer().on_begun(now, self.call);
     }
 
+    /// Records an event that is passed on.
+    pub fn record_event(&self) {
+        let now = self.entry.node.now();
+        self.entry.placer().on_event(now, self.call);
+    }
+
+    /// Sets the forecast of the output, of which the caller has `events` events.
+    pub fn set_forecast(&self, forecast: Forecast, events: u64, profile: &RequestProfile) {
+        let stride = {
+            let cluster = self.entry.node.cluster();
+            let pool = cluster.routing().and_then(|r| r.pool(&profile.pool));
+            let engine = pool.and_then(|p| p.engine.as_deref());
+            engine.map_or(0.0, |e| e.stride)
+        };
+        let written = events as f64 * stride;
+        self.entry
+            .placer()
+            .set_forecast(self.call, forecast, written);
+    }
+
     /// Records what the headers of an answer say of the upstream: that it is leaving,
     /// wants no requests for some time, or only some a second.
     pub fn record_headers(&self, reply: &Reply) {
--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -25,12 +25,8 @@
     }
     let loads = entry.placer().loads();
     datagram.loads = loads
-        .into_iter()
-        .map(|(upstream, calls, unread)| LoadDoc {
-            upstream,
-            calls,
-            unread: unread as u32,
-        })
+        .iter()
+        .map(|(upstream, load)| LoadDoc::new(*upstream, load))
         .collect();
     forecasts::add(entry, now, datagram);
     let recent = lock(&entry.refusals).recent(now);
@@ -60,9 +56,7 @@
 pub fn receive(entry: &Entry, now: Millis, datagram: &Datagram) {
     if datagram.entry && datagram.zone == entry.node.settings().zone {
         let loads = datagram.loads.iter();
-        let loads: Vec<_> = loads
-            .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
-            .collect();
+        let loads: Vec<_> = loads.map(LoadDoc::to_load).collect();
         entry.placer().on_loads(now, &datagram.name, &loads);
         forecasts::receive(entry, now, datagram);
     }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -21,6 +21,7 @@
 use crate::direct::replication;
 use crate::direct::wire::Datagram;
 use crate::direct::wire::DeltaDoc;
+use crate::direct::wire::LoadDoc;
 use crate::direct::wire::NamedDoc;
 use crate::direct::wire::PeerDoc;
 use crate::member::peers::Peer;
@@ -397,7 +398,8 @@
 /// the entries of the zone.
 fn has_new_figures(last: &Datagram, current: &Datagram) -> bool {
     let figures = |d: &Datagram| d.status.as_ref().map(|s| (s.pace / 25, s.calls / 4));
-    last.loads != current.loads || figures(last) != figures(current)
+    let loads = |d: &Datagram| d.loads.iter().map(LoadDoc::key).collect::<Vec<_>>();
+    loads(last) != loads(current) || figures(last) != figures(current)
 }
 
 /// Returns true when a change is to be sent to all receivers at once.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -57,7 +57,10 @@
         loop {
             for event in std::mem::take(&mut stream.events) {
                 match relay.check_event(&event) {
-                    Ok(true) => yield Ok(Frame::data(event.bytes)),
+                    Ok(true) => {
+                        stream.call.record_event();
+                        yield Ok(Frame::data(event.bytes))
+                    }
                     Ok(false) => {}
                     Err(error) => {
                         relay.fail(&error);
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -351,6 +351,8 @@
         .get(target)
         .map_or_else(String::new, |t| t.describe(now));
     let mut call = entry.start_call(now, target, &inbound.profile, predicted);
+    let events = resume_after.unwrap_or(0);
+    call.set_forecast(inbound.forecast, events, &inbound.profile);
     if attempts.sends == 1 {
         entry.count_placed(inbound);
     }
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -17,6 +17,7 @@
 use crate::rollout::versions::Naming;
 use crate::route::estimate::Summary;
 use crate::route::rate_share::Statement;
+use crate::route::work::Load;
 use crate::table::packing;
 use crate::table::packing::Packed;
 use crate::table::packing::Packer;
@@ -168,6 +169,63 @@
     /// yet, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub unread: u32,
+    /// Calls without a first event.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// Output still expected of calls with a first event, in units of 8 tokens.
+    #[prost(uint32, tag = "5")]
+    pub left: u32,
+    /// Output expected of calls without a first event, in units of 8 tokens.
+    #[prost(uint32, tag = "6")]
+    pub fresh: u32,
+    /// Expected number of calls that end soon, in sixteenths; see [`Load::soon`].
+    #[prost(uint32, tag = "7")]
+    pub soon: u32,
+    /// Memory that the calls may need, in units of 64 tokens, rounded up; 0 when the
+    /// sender does not state what is left.
+    #[prost(uint32, tag = "8")]
+    pub memory: u32,
+}
+
+/// Tokens in a unit of [`LoadDoc::left`] and [`LoadDoc::memory`], and part of a call in one of
+/// [`LoadDoc::soon`].
+const LEFT_UNIT: f64 = 8.0;
+const MEMORY_UNIT: f64 = 64.0;
+const SOON_UNIT: f64 = 1.0 / 16.0;
+
+impl LoadDoc {
+    /// Encodes the load of an upstream.
+    pub fn new(upstream: u64, load: &Load) -> LoadDoc {
+        LoadDoc {
+            upstream,
+            calls: load.calls,
+            unread: load.unread_ms as u32,
+            waiting: load.waiting,
+            left: (load.left / LEFT_UNIT).round() as u32,
+            fresh: (load.fresh / LEFT_UNIT).round() as u32,
+            soon: (load.soon / SOON_UNIT).round() as u32,
+            memory: (load.memory / MEMORY_UNIT).ceil() as u32,
+        }
+    }
+
+    /// Returns the hash of the upstream's id, and the load.
+    pub fn to_load(&self) -> (u64, Load) {
+        let load = Load {
+            calls: self.calls,
+            waiting: self.waiting.min(self.calls),
+            unread_ms: f64::from(self.unread),
+            left: f64::from(self.left) * LEFT_UNIT,
+            fresh: f64::from(self.fresh) * LEFT_UNIT,
+            soon: f64::from(self.soon) * SOON_UNIT,
+            memory: f64::from(self.memory) * MEMORY_UNIT,
+        };
+        (self.upstream, load)
+    }
+
+    /// Returns the figures whose change is told at once; the others change all the time.
+    pub fn key(&self) -> (u64, u32, u32) {
+        (self.upstream, self.calls, self.unread)
+    }
 }
 
 /// Observations of an entry on one group of requests; see [`Summary`].
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -95,6 +95,12 @@
         self.step_ms + self.request_ms * batch + self.context_ms * context
     }
 
+    /// Returns the time of one token step with `batch` requests and `context` tokens in memory,
+    /// in milliseconds.
+    pub fn step_with(&self, batch: f64, context: f64) -> f64 {
+        self.step_ms + self.request_ms * batch + self.context_ms * context / 1_000.0
+    }
+
     /// Returns the time of the token steps of one pass with `batch` requests, in
     /// milliseconds.
     pub fn pass_time(&self, batch: f64) -> f64 {
--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -152,6 +152,22 @@
         upper.max(done * (1.0 + TAIL_SHARE)).min(self.limit)
     }
 
+    /// Returns the probability that a request that has come to `done` ends before it has come
+    /// `span` further.
+    pub fn ends_within(&self, done: f64, span: f64) -> f64 {
+        let points = self.points.iter().map(|p| f64::from(*p));
+        let ahead = points.filter(|p| *p > done);
+        let (all, ends) = ahead.fold((0.0, 0.0), |(all, ends), point| {
+            (all + 1.0, ends + f64::from(u8::from(point <= done + span)))
+        });
+        if all > 0.0 {
+            ends / all
+        } else {
+            let left = self.left(done);
+            (span / left.max(span)).min(1.0)
+        }
+    }
+
     /// Returns what is expected to follow when a request has come to `done`.
     ///
     /// What has been passed no longer counts: a request that outlasts its expectation is
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -28,6 +28,7 @@
 pub mod subset;
 pub mod target;
 pub mod upstream;
+pub mod work;
 
 pub use choose::Chooser;
 pub use choose::Policy;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -16,9 +16,11 @@
 use crate::rollout::versions::Versions;
 use crate::route::admit;
 use crate::route::engine::Engine;
+use crate::route::estimate::Forecast;
 use crate::route::notice::Notice;
 use crate::route::notice::Notices;
 use crate::route::notice::StartId;
+use crate::route::predict::View;
 use crate::route::profile::RequestProfile;
 use crate::route::rate_share;
 use crate::route::rate_share::RateLimit;
@@ -27,10 +29,12 @@
 use crate::route::recovery::Recovery;
 use crate::route::spread;
 use crate::route::spread::Candidate;
-use crate::route::target::Load;
 use crate::route::target::PACE_RANGE;
 use crate::route::target::RunnerStatus;
 use crate::route::target::Target;
+use crate::route::work::Job;
+use crate::route::work::Load;
+use crate::route::work::Memory;
 use crate::table::routing::Routing;
 use crate::util;
 
@@ -55,6 +59,9 @@
 /// Time for which other entries are told of a limit after an answer has named or ended it.
 const LIMIT_TELL_TIME: Millis = Millis(10_000);
 
+/// Time after which a caller is told to retry when no upstream has memory for its request.
+const CRAMPED_RETRY: Millis = Millis(300);
+
 /// Result of a placement.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -83,9 +90,8 @@
     /// Start time of the upstream that the call was sent to.
     started: u64,
     sent: Millis,
-    unread_ms: f64,
     predicted_ms: f64,
-    begun: bool,
+    job: Job,
 }
 
 /// Chooses upstreams for requests; holds the upstreams of all pools and the calls
@@ -171,6 +177,7 @@
     /// Adds an upstream, or updates the one with the same id.
     fn set_member(&mut self, member: &Registration, routing: &Routing) {
         let engine = routing.pool(&member.pool).and_then(|p| p.engine.clone());
+        let capacity = routing.memory(&member.pool);
         if let Some(target) = self
             .by_id
             .get(&member.id)
@@ -178,6 +185,7 @@
         {
             if target.registration == *member
                 && target.leaving == member.draining
+                && target.memory.capacity == capacity
                 && has_same_engine(target.engine.as_ref(), engine.as_ref())
             {
                 return;
@@ -196,10 +204,12 @@
                 target.recovery = Recovery::default();
                 target.rate_limit = RateLimit::default();
                 target.status = None;
+                target.memory.used = None;
             }
             target.registration = member.clone();
             target.delay_ms = delay_ms(engine.as_deref(), &self.zone, &member.zone);
             target.engine = engine;
+            target.memory.capacity = capacity;
             target.leaving = member.draining;
             return;
         }
@@ -221,6 +231,12 @@
             slowness: (1.0, Millis(0)),
             recovery: Recovery::default(),
             misdirected_at: None,
+            memory: Memory {
+                capacity,
+                used: None,
+            },
+            heard: Millis(0),
+            view: View::default(),
             rate_limit: RateLimit::default(),
         });
         self.by_id.insert(member.id.clone(), key);
@@ -254,6 +270,13 @@
         target.status = Some(status);
     }
 
+    /// Records the tokens that the requests at upstream `id` held in memory at a time.
+    pub fn on_memory(&mut self, id: &str, used: f64, at: Millis) {
+        if let Some(target) = self.by_id.get(id).and_then(|k| self.targets.get_mut(*k)) {
+            target.memory.used = Some((used, at));
+        }
+    }
+
     /// Records the pace that an upstream reported with an answer.
     pub fn on_pace(&mut self, now: Millis, key: Key<Target>, pace: f64) {
         if let Some(target) = self.targets.get_mut(key) {
@@ -372,20 +395,14 @@
         Some((target, previous))
     }
 
-    /// Records the calls that another entry has in progress. Each item holds the
-    /// hash of an upstream's id, the number of calls, and the time for reading
-    /// their prompts in milliseconds.
-    pub fn on_loads(&mut self, now: Millis, peer: &str, loads: &[(u64, u32, f64)]) {
+    /// Records the calls that another entry has in progress, by the hash of the upstream's
+    /// id.
+    pub fn on_loads(&mut self, now: Millis, peer: &str, loads: &[(u64, Load)]) {
         for (_, target) in self.targets.iter_mut() {
-            let reported = loads
-                .iter()
-                .find(|(id_hash, _, _)| *id_hash == target.id_hash);
+            let reported = loads.iter().find(|(id_hash, _)| *id_hash == target.id_hash);
             match reported {
-                Some((_, calls, unread_ms)) => {
-                    let load = Load {
-                        calls: *calls,
-                        unread_ms: *unread_ms,
-                    };
+                Some((_, load)) => {
+                    let load = load.or_usual(target.engine.as_deref());
                     target.peer_loads.insert(peer.to_string(), (now, load));
                 }
                 None => {
@@ -397,10 +414,9 @@
 
     /// Returns the calls of this entry, as the other entries take them in
     /// [`Placer::on_loads`].
-    pub fn loads(&self) -> Vec<(u64, u32, f64)> {
+    pub fn loads(&self) -> Vec<(u64, Load)> {
         let busy = self.targets.iter().filter(|(_, t)| t.own_load.calls > 0);
-        busy.map(|(_, t)| (t.id_hash, t.own_load.calls, t.own_load.unread_ms))
-            .collect()
+        busy.map(|(_, t)| (t.id_hash, t.own_load)).collect()
     }
 
     /// Chooses an upstream that is not in `without`.
@@ -424,6 +440,11 @@
             .get(&profile.pool)
             .copied()
             .unwrap_or(INITIAL_PLAIN_MS);
+        let mut cramped: Option<f64> = None;
+        let users = self.targets.iter_mut().map(|(_, t)| t);
+        for target in users.filter(|t| t.registration.pool == profile.pool) {
+            target.refresh(now, work_ms);
+        }
         for (key, target) in self.targets.iter() {
             if !target.serves(now, profile) {
                 continue;
@@ -439,14 +460,19 @@
                 // An upstream that was tried counts too, since the caller may
                 // come back to it.
                 if backing_off.is_none_or(|(least, _)| left < least) {
-                    backing_off = Some((left, target.predict_first(now, profile, work_ms, 0.0)));
+                    backing_off =
+                        Some((left, target.predict_first(now, profile, work_ms, 0.0, 0.0)));
                 }
                 continue;
             }
             if without.contains(&key) {
                 continue;
             }
-            let first_ms = target.predict_first(now, profile, work_ms, 0.0);
+            let first_ms = target.predict_first(now, profile, work_ms, 0.0, 0.0);
+            if !target.has_memory(now, profile) {
+                cramped = Some(cramped.map_or(first_ms, |least| least.min(first_ms)));
+                continue;
+            }
             if !self.begins_before_expiry(now, profile, target, first_ms) {
                 continue;
             }
@@ -478,7 +504,10 @@
                     first_ms: retry_after.0 as f64 + first_ms,
                     retry_after,
                 },
-                (None, None) => Choice::NoUpstream,
+                (None, None) => cramped.map_or(Choice::NoUpstream, |first_ms| Choice::Overloaded {
+                    first_ms,
+                    retry_after: CRAMPED_RETRY,
+                }),
             };
         }
         self.add_unseen(now, profile, work_ms, &mut found);
@@ -512,8 +541,7 @@
     /// Adds the calls that other entries of the zone are expected to have started
     /// and ended at the candidates since they reported.
     ///
-    /// As many calls are assumed to start as end, and each call to last as long as a
-    /// usual one.
+    /// As many calls are assumed to start as end.
     fn add_unseen(
         &self,
         now: Millis,
@@ -523,7 +551,7 @@
     ) {
         let predict = |c: &Candidate<Target>| {
             self.targets.get(c.target).map_or(f64::INFINITY, |t| {
-                t.predict_first(now, profile, work_ms, c.unseen)
+                t.predict_first(now, profile, work_ms, c.added, c.added - c.unseen)
             })
         };
         let mut count = 0.0;
@@ -531,7 +559,7 @@
             let Some(target) = self.targets.get(candidate.target) else {
                 continue;
             };
-            let ended = target.unseen_ends(now, work_ms);
+            let ended = target.view.ended;
             candidate.unseen = -ended;
             candidate.first_ms = predict(candidate);
             count += ended;
@@ -579,17 +607,17 @@
         profile: &RequestProfile,
         first_ms: f64,
     ) -> Key<Call> {
-        let (mut unread_ms, mut started) = (0.0, 0);
+        let mut started = 0;
+        let engine = self.targets.get(key).and_then(|t| t.engine.as_deref());
+        let job = Job::new(engine, profile.size);
         let share = self.targets.get(key).map_or(0.0, |t| self.limit_share(t));
         if let Some(target) = self.targets.get_mut(key) {
             target.rate_limit.on_sent(now, share);
             started = target.registration.started;
-            unread_ms = target
-                .engine
-                .as_ref()
-                .map_or(0.0, |e| e.read_ms(profile.size.prompt));
-            target.own_load.calls += 1;
-            target.own_load.unread_ms += unread_ms;
+            if target.own_load.calls == target.own_load.waiting {
+                target.heard = now;
+            }
+            target.own_load.add(&job.load());
             if target.recent_sends.len() >= MAX_RECENT_SENDS {
                 target.recent_sends.pop_front();
             }
@@ -599,26 +627,53 @@
             target: key,
             started,
             sent: now,
-            unread_ms,
             predicted_ms: first_ms,
-            begun: false,
+            job,
         })
     }
 
-    /// Counts the first event or the whole answer of a call.
-    pub fn on_begun(&mut self, now: Millis, key: Key<Call>) {
-        let Some(call) = self.calls.get_mut(key) else {
+    /// Sets the forecast of the output of a call, of which `written` tokens were made by
+    /// another upstream.
+    pub fn set_forecast(&mut self, key: Key<Call>, forecast: Forecast, written: f64) {
+        self.update_job(key, |job| job.expect(forecast, written));
+    }
+
+    /// Counts an event of a call.
+    pub fn on_event(&mut self, now: Millis, key: Key<Call>) {
+        let target = self.calls.get(key).map(|call| call.target);
+        let Some(target) = target.and_then(|target| self.targets.get_mut(target)) else {
             return;
         };
-        if std::mem::replace(&mut call.begun, true) {
+        target.heard = now;
+        let tokens = target.engine.as_ref().map_or(0.0, |e| e.stride);
+        self.update_job(key, |job| job.on_output(tokens));
+    }
+
+    /// Changes what is left of a call, and the load of its upstream with it.
+    fn update_job(&mut self, key: Key<Call>, change: impl FnOnce(&mut Job)) {
+        let Some(call) = self.calls.get_mut(key) else {
             return;
+        };
+        let before = call.job.load();
+        change(&mut call.job);
+        if let Some(target) = self.targets.get_mut(call.target) {
+            target.own_load.add(&call.job.load());
+            target.own_load.subtract(&before);
         }
+    }
+
+    /// Counts the first event or the whole answer of a call.
+    pub fn on_begun(&mut self, now: Millis, key: Key<Call>) {
+        let Some(call) = self.calls.get(key).filter(|call| !call.job.begun) else {
+            return;
+        };
         let took = now.since(call.sent).0 as f64;
-        let (unread_ms, predicted_ms) = (call.unread_ms, call.predicted_ms);
-        let Some(target) = self.targets.get_mut(call.target) else {
+        let (predicted_ms, target) = (call.predicted_ms, call.target);
+        self.update_job(key, |job| job.begun = true);
+        let Some(target) = self.targets.get_mut(target) else {
             return;
         };
-        target.own_load.unread_ms = (target.own_load.unread_ms - unread_ms).max(0.0);
+        target.heard = now;
         target.update_slowness(now, took, predicted_ms);
         if target.engine.is_none() {
             let work_ms = self.plain_ms.entry(target.registration.pool.clone());
@@ -636,10 +691,7 @@
             return;
         };
         assert!(target.own_load.calls > 0, "a call ends once");
-        target.own_load.calls -= 1;
-        if !call.begun {
-            target.own_load.unread_ms = (target.own_load.unread_ms - call.unread_ms).max(0.0);
-        }
+        target.own_load.subtract(&call.job.load());
         if outcome == Outcome::Misdirected {
             target.misdirected_at = Some(now);
         }
--- a/src/route/predict.rs
+++ b/src/route/predict.rs
@@ -5,9 +5,11 @@
 
 use crate::prelude::*;
 use crate::route::engine::Engine;
+use crate::route::engine::Size;
 use crate::route::profile::RequestProfile;
 use crate::route::target::LOAD_EXPIRY;
 use crate::route::target::Target;
+use crate::route::work::Load;
 
 /// Penalty for an upstream in another zone, in milliseconds. Traffic between
 /// zones is expensive, and links between regions have little bandwidth.
@@ -27,23 +29,64 @@
 /// links and scheduling delays.
 const OVERHEAD_MS: f64 = 12.0;
 
+/// Passes, and time beyond them in milliseconds, in which an upstream with running streams
+/// sends an event. Reading the prompts of new requests is part of a pass.
+const SILENT_PASSES: f64 = 2.5;
+const SILENT_MARGIN_MS: f64 = 60.0;
+
+/// What the predictions for one upstream are made from during one choice.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct View {
+    /// Calls there and what is left of their work.
+    load: Load,
+    /// Expected number of calls of other entries that have ended since they were reported.
+    pub(super) ended: f64,
+    /// Time for which it has been silent longer than it should, in milliseconds.
+    silent_ms: f64,
+    pace: f64,
+}
+
 impl Target {
-    /// Returns the number of calls of other entries that are expected to have ended
-    /// since they were reported. `work_ms` is the average service time, used for plain
-    /// services.
-    pub(super) fn unseen_ends(&self, now: Millis, work_ms: f64) -> f64 {
-        let engine_ms = self.engine.as_ref().map(|e| e.service_time());
-        let service_ms = engine_ms.unwrap_or(work_ms).max(1.0);
-        let fresh = self
-            .peer_loads
-            .values()
-            .map(|(at, load)| (now.since(*at), load))
-            .filter(|(age, _)| *age < LOAD_EXPIRY);
-        let ends = fresh.map(|(age, load)| {
-            let share = (age.0 as f64 / service_ms).min(1.0);
-            f64::from(load.calls) * share
-        });
-        ends.sum()
+    /// Computes what the predictions of one choice are made from. `work_ms` is the average
+    /// service time, used for plain services.
+    pub(super) fn refresh(&mut self, now: Millis, work_ms: f64) {
+        let pace = self.pace(now);
+        let mut load = self.load(now);
+        let mut ended = 0.0;
+        let batch = f64::from(load.calls.min(self.registration.slots)).max(1.0);
+        let step_ms = self.engine.as_ref().map(|e| e.step_time(batch) * pace);
+        let fresh = self.peer_loads.values();
+        let fresh = fresh.map(|(at, peer)| (now.since(*at), peer));
+        for (age, peer) in fresh.filter(|(age, _)| *age < LOAD_EXPIRY) {
+            let age = age.0 as f64;
+            match step_ms {
+                Some(step_ms) => {
+                    let steps = age / step_ms.max(1e-3);
+                    load.left += peer.after(steps).left - peer.left;
+                    ended += peer.ends(steps);
+                }
+                None => ended += f64::from(peer.calls) * (age / work_ms.max(1.0)).min(1.0),
+            }
+        }
+        let silent_ms = match (&self.engine, step_ms) {
+            (Some(engine), Some(step_ms)) if self.own_load.calls > self.own_load.waiting => {
+                let pass_ms = engine.stride * step_ms + load.unread_ms * pace;
+                now.since(self.heard).0 as f64 - SILENT_PASSES * pass_ms - SILENT_MARGIN_MS
+            }
+            _ => 0.0,
+        };
+        self.view = View {
+            load,
+            ended,
+            silent_ms: silent_ms.max(0.0),
+            pace,
+        };
+    }
+
+    /// Returns true unless one more request of this size may need more memory than there is.
+    pub(super) fn has_memory(&self, now: Millis, profile: &RequestProfile) -> bool {
+        let usual = self.engine.as_ref().map_or(Size::default(), |e| e.usual);
+        self.memory.fits(now, &self.view.load, profile.size, usual)
     }
 
     /// Returns the penalty for a request that would delay a planned load, in
@@ -66,38 +109,44 @@
         (OVERRUN_WEIGHT * over).clamp(0.0, MAX_OVERRUN_MS)
     }
 
-    /// Predicts the time to the first event of one more request, in milliseconds.
+    /// Predicts the time to the first event of one more request, in milliseconds, by what was
+    /// computed in [`Target::refresh`].
     ///
-    /// `work_ms` is the average service time, used for plain services; `unseen` is the
-    /// number of requests of the usual size that it is expected to have got from other
-    /// entries since they reported.
+    /// `work_ms` is the average service time, used for plain services. Since the other
+    /// entries reported, `ended` of their calls are expected to have ended, and `added` calls
+    /// of the usual size to have been added.
     pub(super) fn predict_first(
         &self,
         now: Millis,
         profile: &RequestProfile,
         work_ms: f64,
-        unseen: f64,
+        added: f64,
+        ended: f64,
     ) -> f64 {
         let zone_ms = 2.0 * self.delay_ms + if self.remote { REMOTE_PENALTY_MS } else { 0.0 };
-        let load = self.load(now);
+        let View { load, pace, .. } = &self.view;
         let slots = f64::from(self.registration.slots.max(1));
-        let calls = f64::from(load.calls) + unseen;
+        let calls = f64::from(load.calls) + added - ended;
         let Some(engine) = &self.engine else {
             let turns = ((calls + 1.0) / slots).max(1.0);
-            return work_ms * turns * self.pace(now) + zone_ms;
+            return work_ms * turns * pace + zone_ms;
         };
         let prompt_ms = engine.read_ms(profile.size.prompt);
-        let unread_ms = load.unread_ms + unseen * engine.read_ms(engine.usual.prompt);
+        let unread_ms = load.unread_ms + added * engine.read_ms(engine.usual.prompt);
         let batch = (calls + 1.0).min(slots);
-        let pass_ms = engine.pass_time(batch);
+        let context = load.context().min(batch * engine.usual.weight()) + profile.size.prompt;
+        let step_ms = engine.step_with(batch, context);
+        let pass_ms = engine.stride * step_ms;
         // A request arrives in the middle of a pass on average, and waits for the
         // end of that pass.
         let mut first_ms = 0.5 * pass_ms + prompt_ms + pass_ms;
         if calls + 1.0 > slots {
-            first_ms += (calls + 1.0 - slots) * engine.completion_interval();
+            let count = calls + 1.0 - slots;
+            let steps = load.steps_until(count, slots, added, ended, engine.usual.output);
+            first_ms += unread_ms + steps * step_ms;
         } else {
             first_ms += unread_ms;
-            let pause = (pass_ms + unread_ms + prompt_ms) * self.pace(now);
+            let pause = (pass_ms + unread_ms + prompt_ms) * pace;
             if profile
                 .max_pause
                 .is_some_and(|most| pause > PAUSE_SHARE * most)
@@ -106,7 +155,9 @@
                 first_ms += pause;
             }
         }
-        first_ms * self.pace(now)
+        // One that is silent is expected to stay so for as long again.
+        first_ms * pace
+            + self.view.silent_ms
             + zone_ms
             + OVERHEAD_MS
             + self.overrun_penalty(now, engine, profile, pass_ms)
--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -8,9 +8,12 @@
 use crate::prelude::*;
 use crate::route::engine::Engine;
 use crate::route::notice::Notice;
+use crate::route::predict::View;
 use crate::route::profile::RequestProfile;
 use crate::route::rate_share::RateLimit;
 use crate::route::recovery::Recovery;
+use crate::route::work::Load;
+use crate::route::work::Memory;
 
 /// Age at which another entry's report of its calls is ignored.
 pub(super) const LOAD_EXPIRY: Millis = Millis(1_000);
@@ -57,15 +60,6 @@
 }
 }
 
-/// Load of one upstream, from one or several sources.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Load {
-    /// Calls in progress.
-    pub(super) calls: u32,
-    /// Time for reading the prompts of calls that have not begun, in milliseconds.
-    pub(super) unread_ms: f64,
-}
-
 /// One upstream as this entry sees it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -98,6 +92,12 @@
     pub(super) recovery: Recovery,
     /// When it last answered that the request was meant for another upstream.
     pub(super) misdirected_at: Option<Millis>,
+    /// Its memory.
+    pub(super) memory: Memory,
+    /// When a call of this entry last brought an event, or the first of them was sent.
+    pub(super) heard: Millis,
+    /// What the predictions of one choice are made from.
+    pub(super) view: View,
     /// Requests a second that it takes from all entries.
     pub(super) rate_limit: RateLimit,
 }
@@ -140,6 +140,8 @@
             "own": self.own_load.calls,
             "calls": load.calls,
             "unread_ms": load.unread_ms,
+            "left_tokens": load.left + load.fresh,
+            "memory_tokens": load.memory,
             "pace": self.pace(now),
             "resting": self.is_avoided(now),
             "rate_limit": self.rate_limit.rate(),
@@ -223,10 +225,14 @@
             .iter()
             .rev()
             .take_while(|at| **at > status.measured_at);
-        Load {
-            calls: zone_load.calls.max(status.calls + sent.count() as u32),
-            ..zone_load
+        let known = status.calls + sent.count() as u32;
+        let mut load = zone_load;
+        let hidden = known.saturating_sub(load.calls);
+        match &self.engine {
+            Some(engine) => load.add(&Load::usual(engine, hidden, 0.0)),
+            None => load.calls += hidden,
         }
+        load
     }
 
     /// Returns the sum of the loads from this entry and the other entries of its zone.
@@ -235,9 +241,9 @@
             .peer_loads
             .values()
             .filter(|(at, _)| now.since(*at) < LOAD_EXPIRY);
-        fresh.fold(self.own_load, |sum, (_, load)| Load {
-            calls: sum.calls + load.calls,
-            unread_ms: sum.unread_ms + load.unread_ms,
+        fresh.fold(self.own_load, |mut sum, (_, load)| {
+            sum.add(load);
+            sum
         })
     }
 
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -155,6 +155,8 @@
     keys: IndexMap<String, usize>,
     organisations: Vec<Arc<Organisation>>,
     limits: Limits,
+    /// Memory of each upstream by pool, in tokens.
+    memory: IndexMap<String, f64>,
 }
 
 impl Routing {
@@ -190,6 +192,7 @@
             keys,
             organisations: shared,
             limits,
+            memory: IndexMap::new(),
         }
     }
 
@@ -222,6 +225,16 @@
         self.pools.values()
     }
 
+    /// Sets the memory of each upstream of a pool, in tokens.
+    pub fn set_memory(&mut self, pool: &str, tokens: f64) {
+        self.memory.insert(pool.to_string(), tokens);
+    }
+
+    /// Returns the memory of each upstream of a pool, in tokens; none when it is not known.
+    pub fn memory(&self, pool: &str) -> Option<f64> {
+        self.memory.get(pool).copied()
+    }
+
     /// Returns the organisation that an API key belongs to.
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
         self.organisations.get(*self.keys.get(key)?)
