--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -1,6 +1,7 @@
 //! What an entry adds to its datagrams, and what it reads from those of others.
 
 use crate::direct::entry::Entry;
+use crate::direct::forecasts;
 use crate::direct::wire::Datagram;
 use crate::direct::wire::KindDoc;
 use crate::direct::wire::LimitDoc;
@@ -27,15 +28,12 @@
     }
     let loads = entry.placer().loads();
     datagram.loads = loads
-        .into_iter()
-        .map(|(upstream, calls, unread)| LoadDoc {
-            upstream,
-            calls,
-            unread: unread as u32,
-        })
+        .iter()
+        .map(|(upstream, load)| LoadDoc::new(*upstream, load))
         .collect();
     let counts = lock(&entry.admission).counts(now);
     datagram.kinds = counts.iter().map(|(k, c)| KindDoc::new(*k, c)).collect();
+    forecasts::add(entry, now, datagram);
     let recent = lock(&entry.refusals).recent(now);
     datagram.refused = recent.iter().map(|r| RefusedDoc::new(now, r)).collect();
 }
@@ -71,9 +69,7 @@
 pub fn receive(entry: &Entry, now: Millis, datagram: &Datagram) {
     if datagram.entry && datagram.zone == entry.node.settings().zone {
         let loads = datagram.loads.iter();
-        let loads: Vec<_> = loads
-            .map(|l| (l.upstream, l.calls, f64::from(l.unread)))
-            .collect();
+        let loads: Vec<_> = loads.map(LoadDoc::to_load).collect();
         entry.placer().on_loads(now, &datagram.name, &loads);
         let counts: Vec<_> = datagram.kinds.iter().map(|k| k.to_counts()).collect();
         if !counts.is_empty() {
@@ -82,6 +78,7 @@
     } else if datagram.entry && !datagram.zone_kinds.is_empty() {
         let counts = datagram.zone_kinds.iter().map(|k| k.to_counts()).collect();
         lock(&entry.admission).on_zone(now, &datagram.zone, counts);
+        forecasts::receive(entry, now, datagram);
     }
     if let Some(doc) = &datagram.status {
         let mut placer = entry.placer();
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::direct::entry::Entry;
+use crate::direct::forecasts;
 use crate::gate::Signatures;
 use crate::gate::suspect;
 use crate::net::body;
@@ -17,8 +18,9 @@
 use crate::prelude::*;
 use crate::route::admission::KindId;
 use crate::route::admission::Offer;
-use crate::route::engine::Engine;
 use crate::route::engine::Size;
+use crate::route::estimate::Forecast;
+use crate::route::estimate::Kind;
 use crate::route::profile::RequestProfile;
 use crate::route::regions::Regions;
 use crate::route::target::Target;
@@ -61,6 +63,10 @@
     pub kind: KindId,
     /// What the placement needs to know to choose an upstream.
     pub profile: RequestProfile,
+    /// Groups of alike requests that it belongs to.
+    pub cost_kind: Kind,
+    /// Forecast of its output, in tokens.
+    pub forecast: Forecast,
     /// Hash that identifies the request over its attempts and entries.
     pub fingerprint: Fingerprint,
     /// What it has in common with other requests that may crash upstreams.
@@ -109,13 +115,18 @@
     let time_lost = entry.time_lost(&fingerprint, arrived, call.time_left);
     let rank = organisation.as_ref().and_then(|o| o.priority);
     let rank = rank.unwrap_or(route.priority);
-    let (kind, mut profile) = profile(entry, &routing, &route, &call, rank, time_lost, patience)?;
+    let cost_kind = forecasts::kind(&route, organisation.as_deref(), &call);
+    let (kind, mut profile, forecast) = profile(
+        entry, &routing, &route, &call, &cost_kind, rank, time_lost, patience,
+    )?;
     profile.regions = route.regions_for(organisation.as_deref());
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
         kind,
         profile,
+        cost_kind,
+        forecast,
         fingerprint,
         signatures,
         call,
@@ -197,17 +208,19 @@
     Ok(known.cloned())
 }
 
-/// Counts a request and describes it for the placement. `time_lost` is lost at
-/// earlier attempts, `patience` the time that the caller waits, in milliseconds.
+/// Counts a request and describes it for the placement, with the forecast of its output.
+/// `time_lost` is lost at earlier attempts, `patience` the time that the caller waits, in
+/// milliseconds.
 fn profile(
     entry: &Entry,
     routing: &Routing,
     route: &Route,
     call: &CallerHeaders,
+    cost_kind: &Kind,
     rank: u8,
     time_lost: Millis,
     patience: u64,
-) -> Result<(KindId, RequestProfile)> {
+) -> Result<(KindId, RequestProfile, Forecast)> {
     let pool = route.pool(&call.id).ok_or_else(|| {
         Error::new(
             Code::NoUpstream,
@@ -216,8 +229,9 @@
     })?;
     let engine = routing.pool(pool).and_then(|p| p.engine.as_deref());
     let stated = call.size.unwrap_or_default();
+    let forecast = forecasts::output(entry, engine, cost_kind, stated.output, call.estimate);
     let size = Size {
-        output: output(engine, stated.output, call.estimate),
+        output: forecast.mean(),
         ..stated
     };
     let left = route.objective.0 as f64 - time_lost.0 as f64 - OBJECTIVE_MARGIN_MS;
@@ -251,20 +265,5 @@
         large_preference: standing.large_preference,
         allowance: standing.allowance,
     };
-    Ok((kind, profile))
-}
-
-/// Returns the expected output of a request, in tokens; `longest` is the longest
-/// answer that the caller allows, 0 when it does not say.
-///
-/// The caller's estimate is right only at the median, so the geometric mean of it
-/// and the usual output is taken.
-fn output(engine: Option<&Engine>, longest: f64, estimate: Option<f64>) -> f64 {
-    let usual = engine.map_or(0.0, |e| e.usual.output);
-    let expected = estimate.map_or(usual, |tokens| (tokens.max(1.0) * usual).sqrt());
-    if longest > 0.0 {
-        expected.min(longest)
-    } else {
-        expected
-    }
+    Ok((kind, profile, forecast))
 }
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -70,6 +70,18 @@
 }
 
 impl Engine {
+    /// Returns the number of tokens in the first `events` events of an answer; these are all
+    /// of it when it is whole. An event holds the tokens of one pass, and the last one those
+    /// that are left.
+    pub fn tokens(&self, events: u64, is_whole: bool) -> f64 {
+        let tokens = events as f64 * self.stride;
+        if is_whole && events > 0 {
+            tokens - (self.stride - 1.0) / 2.0
+        } else {
+            tokens
+        }
+    }
+
     /// Returns the time for reading a prompt of this many tokens, in milliseconds.
     pub fn read_ms(&self, prompt: f64) -> f64 {
         let pairs = prompt * prompt / 2.0 / 1e6;
@@ -83,6 +95,12 @@
         self.step_ms + self.request_ms * batch + self.context_ms * context
     }
 
+    /// Returns the time of one token step with `batch` requests and `context` tokens in memory,
+    /// in milliseconds.
+    pub fn step_with(&self, batch: f64, context: f64) -> f64 {
+        self.step_ms + self.request_ms * batch + self.context_ms * context / 1_000.0
+    }
+
     /// Returns the time of the token steps of one pass with `batch` requests, in
     /// milliseconds.
     pub fn pass_time(&self, batch: f64) -> f64 {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -14,6 +14,7 @@
 pub mod cost;
 pub mod eject;
 pub mod engine;
+pub mod estimate;
 pub mod hedge;
 pub mod notice;
 pub mod placement;
@@ -31,6 +32,7 @@
 pub mod subset;
 pub mod target;
 pub mod upstream;
+pub mod work;
 
 pub use choose::Chooser;
 pub use choose::Policy;
