soak: Bind entries to evacuations after pauses and without the store

Cause: the checker excused an entry that was paused, restarted or cut off from the store, although peers pass evacuations on and an entry that stood still catches up before it sends. Change: the rule binds an entry while the store and one entry at least are in touch. The settings of the soak name bounds.evacuate_ms.

--- a/src/platform/standin.rs
+++ b/src/platform/standin.rs
@@ -214,6 +214,9 @@
     format!("zones.{zone}={region}\n")
 }
 
+/// Line of a settings file that bounds the time of an evacuation.
+pub const EVACUATION_SETTING: &str = "bounds.evacuate_ms=5000\n";
+
 /// Moves a registration as by [`registration`] to a zone.
 pub fn set_zone(registration: &mut Value, zone: &str) {
     registration["zone"] = json!(zone);
--- a/src/soak/checker.rs
+++ b/src/soak/checker.rs
@@ -115,11 +115,18 @@
     observed: IndexMap<String, ObservedConfig>,
     /// When SIGTERM was sent, by entry; cleared on restart.
     stops: IndexMap<String, Millis>,
+    /// Names of all entries.
+    entries: Vec<String>,
     complete: usize,
     violations: Vec<String>,
 }
 
 impl Checker {
+    /// Sets the names of all entries.
+    pub fn set_entries(&mut self, names: impl IntoIterator<Item = String>) {
+        self.entries = names.into_iter().collect();
+    }
+
     /// Records a configuration that the store acknowledged.
     pub fn on_config(&mut self, now: Millis, pool: &'static str) {
         self.configs.push((now, pool));
@@ -228,7 +235,9 @@
             self.record_violation(now, &execution.id, &what);
         }
         let evacuated = self.evacuated.get(execution.zone).copied();
-        if is_bound && evacuated.is_some_and(|at| now > at.plus(EVACUATE_TIME)) {
+        if self.must_know_evacuations(now, &request.entry)
+            && evacuated.is_some_and(|at| now > at.plus(EVACUATE_TIME))
+        {
             let what = format!(
                 "reached the evacuated zone {}, from {}",
                 execution.zone, request.entry
@@ -366,6 +375,14 @@
         })
     }
 
+    /// Returns whether an entry must know the evacuations: itself or another entry, which
+    /// passes them on, is in touch with the store. It must after a pause or a restart too.
+    fn must_know_evacuations(&self, now: Millis, entry: &str) -> bool {
+        let mut others = self.entries.iter();
+        let is_told = self.is_calm(now, entry) || others.any(|other| self.is_calm(now, other));
+        is_told && self.is_calm(now, STORE)
+    }
+
     fn record_violation(&mut self, now: Millis, id: &str, what: &str) {
         if self.violations.len() < MAX_VIOLATIONS {
             self.violations
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -179,6 +179,7 @@
     let mut processes = Vec::new();
     for (index, proxy) in store_proxies.iter().enumerate() {
         let mut text = standin::entry_settings(ip(index + 1), &seeds, proxy.addr());
+        text += standin::EVACUATION_SETTING;
         for (zone, region) in &ZONES[1..] {
             text += &standin::zone_setting(zone, region);
         }
@@ -205,6 +206,8 @@
         drop(_open);
     })
     .detach();
+    let names = harness.processes.iter().map(|p| p.name().to_string());
+    lock(&harness.checker).set_entries(names);
     harness.configure(1);
     for pool in POOLS {
         for number in 0..UPSTREAMS {
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -94,8 +94,12 @@
     checker.on_brief_fault(Millis(15_000), "e");
     assert_eq!(run(&mut checker, 17_900), 0);
     assert_eq!(run(&mut checker, 18_100), 1);
-    checker.on_revoked("z");
+    checker.on_fault_start("e");
     assert_eq!(run(&mut checker, 18_200), 1);
+    checker.set_entries(["e".to_string(), "other".to_string()]);
+    assert_eq!(run(&mut checker, 18_300), 2, "another entry passes it on");
+    checker.on_revoked("z");
+    assert_eq!(run(&mut checker, 18_400), 2);
 }
 
 /// Guards against a checker that misses a request outside its regions, whatever faults
