--- a/tests/support/prepared.rs
+++ b/tests/support/prepared.rs
@@ -749,6 +749,11 @@
         assert!(done.is_ok_and(|s| s.success()));
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the peak of the process's resident memory, in bytes.
     pub fn peak_memory(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -108,6 +108,11 @@
         process
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name, such as `TERM`. After `STOP`, no thread of the process
     /// runs when this returns.
     pub fn signal(&self, name: &str) {
@@ -261,6 +266,8 @@
     pub entries: Vec<EntryVm>,
     /// Revision of the tables that were published last.
     pub revision: u64,
+    /// Further lines of `node` in all settings files.
+    pub node_lines: String,
 }
 
 /// An agent with the engine stand-in behind it.
@@ -292,6 +299,11 @@
 
     /// Starts the same system with another time for each token, in microseconds.
     pub fn start_with(name: &str, token_us: &str) -> System {
+        System::start_on(name, token_us, "")
+    }
+
+    /// Starts the same system with further lines of `node` in all settings files.
+    pub fn start_on(name: &str, token_us: &str, node_lines: &str) -> System {
         let dir = WorkDir::new(name);
         let (platform, platform_addr) = Process::standin(&["platform"]);
         let (origin, origin_addr) = Process::standin(&["origin", "--seed", "1", "--seed", "2"]);
@@ -312,6 +324,7 @@
             agents: Vec::new(),
             entries: Vec::new(),
             revision: 0,
+            node_lines: node_lines.to_string(),
         };
         for (index, pool) in ["assistant", "assistant", "booking", "booking"]
             .iter()
@@ -333,7 +346,8 @@
         let platform = self.platform_addr;
         format!(
             "node:\n  name: {name}\n  zone: {zone}\n  region: r1\n  rpc: {rpc}\n  \
-             admin: {admin}\n  platform: [\"{platform}\"]\n"
+             admin: {admin}\n  platform: [\"{platform}\"]\n{}",
+            self.node_lines
         )
     }
 
