net: Keep one account of what callers make a process hold

Bodies, heads, connections and unread answers had no common bound, so that a crowd decided how much a process holds. net::memory is now one account for a process, sized as half of the machine's memory and five eighths of its descriptors: a large body is reserved whole before any of it is read, a quarter stays for small holdings, one source gets at most a share, and what finds no room waits; then whoever makes the least progress for what it holds is closed. Both edges, the internal ports, the agent's port and HTTP/2 go through it (net::server, net::stream), and the budget of answers is part of it. A body over the limit gets 413 as soon as that is known; reads after a refusal are bounded.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -35,7 +35,6 @@
 use crate::net::body::BoxBody;
 use crate::net::rt;
 use crate::net::server;
-use crate::net::server::Limits;
 use crate::node::Node;
 use crate::node::admin;
 use crate::node::config_service;
@@ -167,7 +166,7 @@
     async fn serve_rpc(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         let agent = AgentServer::new(rpc::AgentService::new(self.clone()));
         let peer = PeerServer::new(crate::node::peer::PeerService::new(self.node.clone()));
-        server::serve(listener, Limits::default(), stop, move |request| {
+        server::serve(listener, self.node.server_limits(), stop, move |request| {
             let agent = agent.clone();
             let peer = peer.clone();
             async move {
@@ -183,7 +182,7 @@
 
     /// Serves operators and the engine.
     async fn serve_admin(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
-        server::serve(listener, Limits::default(), stop, move |request| {
+        server::serve(listener, self.node.server_limits(), stop, move |request| {
             let agent = self.clone();
             async move { agent.answer_admin(&request) }
         })
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -490,6 +490,8 @@
         peers: Vec::new(),
         log: log::Format::Text,
         secret: String::new(),
+        memory_mb: config::default_memory(),
+        max_fds: config::default_fds(),
     })
 }
 
--- a/src/bench/tables/loopback.rs
+++ b/src/bench/tables/loopback.rs
@@ -157,6 +157,8 @@
             peers: addrs.iter().take(SEEDS).copied().collect(),
             log: log::Format::Text,
             secret: String::new(),
+            memory_mb: config::default_memory(),
+            max_fds: config::default_fds(),
         };
         let node = Node::with_sync_mode(settings, log::discard(), options.sync_mode);
         peer(node, addr, listener)
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -40,6 +40,12 @@
 /// Most memory for recorded answers, in MiB.
 const MAX_ANSWERS_MB: u64 = 1 << 10;
 
+/// Least memory of a process, in MB: a body of the largest size must fit its account.
+const MIN_MEMORY_MB: u64 = 24;
+
+/// Fewest open file descriptors of a process.
+const MIN_FDS: u64 = 300;
+
 /// Fields of `node`, which entries and agents share.
 pub const NODE: &[Field] = &[
     required("name", Kind::Text(NAME)),
@@ -51,6 +57,8 @@
     optional("peers", Kind::List(&Kind::Address, 0)),
     optional("log", Kind::OneOf(&["text", "json"])),
     optional("secret", Kind::Text(ANY)),
+    optional("memory_mb", Kind::Integer(MIN_MEMORY_MB, MAX_STAGING_MB)),
+    optional("max_fds", Kind::Integer(MIN_FDS, MAX_REQUESTS)),
 ];
 
 /// Schema of the settings of an entry.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -38,6 +38,12 @@
     /// Secret that signs tickets; must be the same in all processes.
     #[serde(default)]
     pub secret: String,
+    /// Memory of the process, in MB. Half of it is for what callers make the process hold.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
+    /// Most open file descriptors of the process.
+    #[serde(default = "default_fds")]
+    pub max_fds: usize,
 }
 }
 
@@ -89,6 +95,16 @@
 }
 }
 
+/// Returns the memory of a process whose settings do not state it, in MB.
+pub fn default_memory() -> usize {
+    512
+}
+
+/// Returns the most open descriptors of a process whose settings do not state them.
+pub fn default_fds() -> usize {
+    4_096
+}
+
 fn default_body() -> usize {
     4 << 20
 }
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -67,7 +67,12 @@
             let agent = self.clone();
             let answer = move |request: Request<Incoming>| agent.clone().answer(request);
             let listener = server::bind(addr)?;
-            let serving = server::serve(listener, entry::server_limits(), never.clone(), answer);
+            let serving = server::serve(
+                listener,
+                entry::server_limits(&self.node),
+                never.clone(),
+                answer,
+            );
             tasks.push(rt::spawn(serving));
         }
         info!(self.node.log().logger(), "process: serving"; "runner" => format!("{:?}", settings.runner));
@@ -112,7 +117,10 @@
             replication::PATH => replication::answer_peer(&self.node, &request),
             updater::PATH => self.updater.answer_piece(&request).await,
             updater::DIGESTS_PATH => self.updater.answer_digests(&request).await,
-            "/metrics" => Response::new(body::full(self.node.metrics().text())),
+            "/metrics" => {
+                self.node.memory().set_gauges();
+                Response::new(body::full(self.node.metrics().text()))
+            }
             "/dump" => Response::new(body::full(format!("{:#}\n", self.dump()))),
             _ => entry::status_only(StatusCode::NOT_FOUND),
         }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -37,9 +37,9 @@
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
-use crate::net::body::MemoryBudget;
 use crate::net::client::Client;
 use crate::net::client::Limits;
+use crate::net::memory::Class;
 use crate::net::rt;
 use crate::net::server;
 use crate::once::Fingerprint;
@@ -81,9 +81,6 @@
 /// Most idle connections that are kept to one upstream.
 const MAX_IDLE: usize = 24;
 
-/// File descriptors that are left for files and listeners.
-const RESERVED_DESCRIPTORS: usize = 200;
-
 /// Number of routes with counts of sizes at which all counts are dropped, so that
 /// removed routes do not fill the memory.
 const MAX_ROUTES: usize = 4_096;
@@ -100,10 +97,6 @@
 /// runners is lost, and no more under any load pattern.
 const MIN_RETRY: Millis = Millis(120);
 
-/// Memory for all answers that are read whole, in bytes. The processes of a
-/// machine may use 160 MB together.
-const MAX_ANSWER_MEMORY: usize = 32 << 20;
-
 /// State of the entry process.
 pub struct Entry {
     /// Identity, settings, peers and view of the cluster.
@@ -120,8 +113,6 @@
     pub(super) refusals: Mutex<Refusals>,
     /// Counts of request sizes, by route.
     sizes: Mutex<IndexMap<String, SizeFairness>>,
-    /// Memory for answers that are read whole.
-    pub(super) answer_memory: Arc<MemoryBudget>,
 }
 
 /// A call to an upstream that the placement counts as in progress until this is
@@ -191,7 +182,6 @@
             clients: Mutex::default(),
             refusals: Mutex::default(),
             sizes: Mutex::default(),
-            answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
         let held = Arc::downgrade(&entry);
@@ -622,7 +612,7 @@
             let listener = server::bind(addr)?;
             tasks.push(rt::spawn(server::serve(
                 listener,
-                server_limits(),
+                server_limits(&self.node),
                 never.clone(),
                 answer,
             )));
@@ -635,7 +625,7 @@
         let listener = server::bind(ready)?;
         tasks.push(rt::spawn(server::serve(
             listener,
-            server_limits(),
+            server_limits(&self.node),
             never.clone(),
             answer,
         )));
@@ -651,13 +641,8 @@
         let entry = self.clone();
         let answer = move |request: Request<Incoming>| entry.clone().handle(request);
         let limits = server::Limits {
-            max_connections: self
-                .node
-                .settings()
-                .max_fds
-                .saturating_sub(RESERVED_DESCRIPTORS)
-                / 2,
-            ..server_limits()
+            class: Class::Callers,
+            ..server_limits(&self.node)
         };
         let serving = rt::spawn(server::serve(server::bind(addr)?, limits, closed, answer));
         info!(self.node.log().logger(), "process: serving"; "addr" => addr.to_string());
@@ -696,6 +681,7 @@
         metrics.set(Metric::CrashBlocked, self.crashes.blocked() as u64);
         metrics.set(Metric::RequestRunning, running as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
+        self.node.memory().set_gauges();
         metrics.text()
     }
 
@@ -719,14 +705,15 @@
 }
 
 /// Returns the limits of the HTTP servers on a prepared machine.
-pub fn server_limits() -> server::Limits {
+pub fn server_limits(node: &Node) -> server::Limits {
     /// Time until a whole head must have been read. It also ends idle connections:
     /// callers use a connection again within the operator's idle time.
     const HEAD_OR_IDLE: Duration = Duration::from_secs(20);
     server::Limits {
         head_timeout: HEAD_OR_IDLE,
         allow_http2: false,
-        ..server::Limits::default()
+        memory: node.memory().clone(),
+        class: Class::Internal,
     }
 }
 
--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -11,6 +11,8 @@
 use crate::gate::Signatures;
 use crate::gate::suspect;
 use crate::net::body;
+use crate::net::body::ReadLimits;
+use crate::net::reserve::Hold;
 use crate::once::Fingerprint;
 use crate::platform::headers;
 use crate::platform::headers::CallerHeaders;
@@ -46,6 +48,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Connection of the caller in the account of the process.
+    pub memory: Hold,
     /// When it arrived.
     pub arrived: Millis,
     /// When its answer must have ended.
@@ -85,7 +89,13 @@
         .ok_or_else(|| Error::new(Code::RouteUnknown, format!("{host}{}", parts.uri.path())))?;
     let call = headers::decode_caller(&parts.headers);
     let organisation = authorize(&routing, &route, &call)?;
-    let body = body::read_request(incoming, routing.limits().max_body).await?;
+    let memory = parts.extensions.get::<Hold>().cloned();
+    let memory = memory.ok_or_else(|| Error::new(Code::Internal, "connection without account"))?;
+    let limits = ReadLimits {
+        length: routing.limits().max_body,
+        copies: 1,
+    };
+    let body = body::read_request_reserved(incoming, limits, &memory).await?;
     let target = parts
         .uri
         .path_and_query()
@@ -112,6 +122,7 @@
         target,
         headers: parts.headers,
         body,
+        memory,
         arrived,
         deadline: arrived.plus(Millis(patience).since(DEADLINE_MARGIN)),
         time_lost,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -14,6 +14,8 @@
 use crate::member::peers::Peers;
 use crate::member::peers::Role;
 use crate::metric::Metrics;
+use crate::net::memory::Size;
+use crate::net::reserve::Memory;
 use crate::platform::settings::Settings;
 use crate::prelude::*;
 use crate::rollout::versions::NamedVersion;
@@ -48,6 +50,7 @@
     clock: Clock,
     log: DecisionLog,
     metrics: Metrics,
+    memory: Memory,
     cluster: Mutex<ClusterView>,
     packer: Mutex<Packer>,
     peers: Mutex<Peers>,
@@ -59,6 +62,7 @@
     /// Creates a node that knows no peers, configuration or upstreams yet.
     pub fn new(role: Role, settings: Settings, log: Logger) -> Node {
         let metrics = Metrics::default();
+        let memory = Memory::new(account_size(&settings), metrics.clone(), log.clone());
         Node {
             inner: Arc::new(Inner {
                 role,
@@ -66,6 +70,7 @@
                 clock: Clock::new(),
                 log: DecisionLog::new(log, metrics.clone()),
                 metrics,
+                memory,
                 cluster: Mutex::default(),
                 packer: Mutex::default(),
                 peers: Mutex::default(),
@@ -87,6 +92,7 @@
 
     /// Puts new settings in force.
     pub fn set_settings(&self, settings: Settings) {
+        self.inner.memory.set_size(account_size(&settings));
         *lock(&self.inner.settings) = Arc::new(settings);
     }
 
@@ -110,6 +116,11 @@
         &self.inner.metrics
     }
 
+    /// Returns the account of what callers make the process hold.
+    pub fn memory(&self) -> &Memory {
+        &self.inner.memory
+    }
+
     /// Locks and returns the view of the cluster; not to be held across an
     /// `await`.
     pub fn cluster(&self) -> MutexGuard<'_, ClusterView> {
@@ -209,3 +220,8 @@
         self.stop_times().is_some()
     }
 }
+
+/// Returns the size of the account on the machine that the settings describe.
+fn account_size(settings: &Settings) -> Size {
+    Size::of_machine(settings.memory_mb, settings.max_fds)
+}
--- a/src/direct/send.rs
+++ b/src/direct/send.rs
@@ -600,7 +600,7 @@
     } else {
         MAX_ANSWER
     };
-    let bytes = body::read_with_budget(response.into_body(), limit, &entry.answer_memory)
+    let bytes = body::read_reserved(response.into_body(), limit, &inbound.memory)
         .await
         .map_err(|e| lost(e.detail))?;
     client.give_back(kept);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -4,6 +4,7 @@
 
 use http::Request;
 use http::Response;
+use http::request::Parts;
 use hyper::body::Incoming;
 
 use crate::agent::serve::is_end_to_end;
@@ -18,7 +19,9 @@
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::body::ReadLimits;
 use crate::net::client;
+use crate::net::reserve::Hold;
 use crate::prelude::*;
 use crate::proto;
 use crate::table::doc::Repeat;
@@ -105,7 +108,8 @@
         ));
     }
     let organisation = header(request.headers(), ORGANISATION_HEADER).unwrap_or_default();
-    let bytes = read_body(entry, request.into_body()).await?;
+    let (parts, incoming) = request.into_parts();
+    let bytes = read_body(entry, &parts, incoming).await?;
     ticketed::issue(entry, &organisation, &bytes).await
 }
 
@@ -115,9 +119,17 @@
 }
 
 /// Reads a request's body whole, within the entry's limits of time and size.
-async fn read_body(entry: &Entry, incoming: Incoming) -> Result<Bytes> {
+async fn read_body(entry: &Entry, parts: &Parts, incoming: Incoming) -> Result<Bytes> {
+    /// The body itself, the message to the agent, and its encoded form.
+    const COPIES: usize = 3;
+    let memory = parts.extensions.get::<Hold>();
+    let memory = memory.ok_or_else(|| Error::new(Code::Internal, "connection without account"))?;
     let limit = Duration::from_millis(entry.settings.head_ms);
-    let reading = body::read_request(incoming, entry.settings.max_body);
+    let limits = ReadLimits {
+        length: entry.settings.max_body,
+        copies: COPIES,
+    };
+    let reading = body::read_request_reserved(incoming, limits, memory);
     client::timeout(limit, Code::HeaderTooSlow, reading)
         .await
         .map_err(|e| e.with_run(Run::NotRun))
@@ -144,7 +156,7 @@
         return Err(Error::new(Code::RouteUnknown, detail));
     };
     let (route_name, route) = (route_name.to_string(), route.clone());
-    let bytes = read_body(entry, incoming).await?;
+    let bytes = read_body(entry, &parts, incoming).await?;
     let path = parts
         .uri
         .path_and_query()
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 use crate::entry::pools::Pools;
 use crate::entry::ticketed::Owners;
 use crate::log::Component;
+use crate::net::memory::Class;
 use crate::net::rt;
 use crate::net::server;
 use crate::net::server::Limits;
@@ -89,7 +90,8 @@
     async fn serve_callers(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         let limits = Limits {
             head_timeout: Duration::from_millis(self.settings.head_ms),
-            ..Limits::default()
+            class: Class::Callers,
+            ..self.node.server_limits()
         };
         server::serve(listener, limits, stop, move |request| {
             let entry = self.clone();
@@ -101,7 +103,7 @@
     /// Exchanges tables and counts with other processes.
     async fn serve_rpc(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         let peer = PeerServer::new(crate::node::peer::PeerService::new(self.node.clone()));
-        server::serve(listener, Limits::default(), stop, move |request| {
+        server::serve(listener, self.node.server_limits(), stop, move |request| {
             let peer = peer.clone();
             async move { crate::net::rpc::answer(peer, request).await }
         })
@@ -112,7 +114,7 @@
     async fn serve_admin(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         server::serve(
             listener,
-            Limits::default(),
+            self.node.server_limits(),
             stop,
             move |request: Request<Incoming>| {
                 let entry = self.clone();
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -93,6 +93,11 @@
     TableRevision = "table.revision", Gauge, "revision", "", "revision of the set in force, 0 for none";
     TableRefused = "table.refused", Gauge, "sets", "", "1 while newer tables are refused, else 0";
     WeightsHeld = "weights.held_bytes", Gauge, "bytes", "", "bytes of verified chunks in memory";
+    MemoryHeld = "memory.held_bytes", Gauge, "bytes", "", "memory that callers make the process hold: connections, heads, bodies, unread answers";
+    MemorySize = "memory.size_bytes", Gauge, "bytes", "", "most memory that callers may make the process hold";
+    MemoryClosed = "memory.closed", Counter, "holders", "", "connections and bodies that were closed to make room for others";
+    MemoryRefused = "memory.refused", Counter, "reservations", "", "connections and bodies that were refused for want of memory or connections";
+    ConnectionsOpen = "connections.open", Gauge, "connections", "", "open connections of callers, other processes and operators";
     Uptime = "process.uptime_ms", Gauge, "ms", "", "time since the process started";
 }
 
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -1,9 +1,6 @@
 //! Bodies of HTTP messages: held whole, streamed from a channel, or read up to a limit.
 
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -17,11 +14,15 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use smol::channel::Receiver;
+use smol::future::FutureExt;
 use smol::stream::Stream;
 
 use crate::error::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::net::memory::SMALL;
+use crate::net::memory::Use;
+use crate::net::reserve::Hold;
 
 /// Error of reading a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -195,64 +196,10 @@
     }
 }
 
-/// Memory that all answer bodies read with [`read_with_budget`] share.
-#[derive(Debug)]
-pub struct MemoryBudget {
-    /// Bytes that are not reserved.
-    left: AtomicUsize,
-}
-
-impl MemoryBudget {
-    /// Creates a budget of `bytes` bytes.
-    pub fn new(bytes: usize) -> Arc<MemoryBudget> {
-        Arc::new(MemoryBudget {
-            left: AtomicUsize::new(bytes),
-        })
-    }
-}
-
-/// Part of a budget that one body uses; dropping it returns the memory to the budget.
-struct Reservation {
-    budget: Arc<MemoryBudget>,
-    bytes: usize,
-}
-
-impl Reservation {
-    /// Raises the reservation to `bytes`; returns false, and changes nothing, when too
-    /// little of the budget is left.
-    fn raise(&mut self, bytes: usize) -> bool {
-        let added = bytes.saturating_sub(self.bytes);
-        let subtract = |left: usize| left.checked_sub(added);
-        let order = Ordering::Relaxed;
-        let is_granted = self
-            .budget
-            .left
-            .fetch_update(order, order, subtract)
-            .is_ok();
-        if is_granted {
-            self.bytes += added;
-        }
-        is_granted
-    }
-
-    /// Lowers the reservation to `bytes`.
-    fn lower(&mut self, bytes: usize) {
-        let freed = self.bytes.saturating_sub(bytes);
-        self.budget.left.fetch_add(freed, Ordering::Relaxed);
-        self.bytes -= freed;
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.budget.left.fetch_add(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Body with its reservation, which lives as long as any slice of the body.
 struct ReservedBody {
     bytes: Bytes,
-    _reservation: Reservation,
+    _hold: Hold,
 }
 
 impl AsRef<[u8]> for ReservedBody {
@@ -261,38 +208,134 @@
     }
 }
 
-/// Reads a whole answer body and reserves its memory in `budget` for as long as it is
-/// buffer.
+/// Reads a whole answer body, and reserves its memory with the connection of the caller that it
+/// is for, for as long as it is in a buffer.
 ///
-/// Fails as [`read`] does, and also when too little of the budget is left. Small bodies
-/// need no reservation, so that a few large ones cannot keep out the others.
-pub async fn read_with_budget<B>(
-    mut body: B,
-    limit: usize,
-    budget: &Arc<MemoryBudget>,
-) -> Result<Bytes>
+/// Fails as [`read`] does, and also when there is no memory for it. Small bodies need no
+/// reservation, so that a few large ones cannot keep out the others.
+pub async fn read_reserved<B>(mut body: B, limit: usize, caller: &Hold) -> Result<Bytes>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    /// Largest body that needs no reservation, in bytes.
-    const SMALL: usize = 64 << 10;
     check_length(&body, limit)?;
-    let mut reservation = Reservation {
-        budget: budget.clone(),
-        bytes: 0,
-    };
-    let mut reserve = |size: usize| size <= SMALL || reservation.raise(size);
+    let hold = caller.begin(Use::Answer);
+    let mut reserve = |size: usize| size <= SMALL || hold.try_raise(size);
     let bytes = collect(&mut body, limit, MAX_FRAMES, &mut reserve).await?;
-    if reservation.bytes == 0 {
+    if bytes.len() <= SMALL {
         return Ok(bytes);
     }
     // The blocks that were joined are freed.
-    reservation.lower(bytes.len());
-    Ok(Bytes::from_owner(ReservedBody {
-        bytes,
-        _reservation: reservation,
-    }))
+    hold.lower(bytes.len());
+    Ok(Bytes::from_owner(ReservedBody { bytes, _hold: hold }))
+}
+
+/// How a request body is read.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadLimits {
+    /// Longest body, in bytes.
+    pub length: usize,
+    /// Copies of the body that the process holds at a time.
+    pub copies: usize,
+}
+
+/// Time that a body waits for memory before it is refused.
+const MEMORY_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Time without any byte after which a body is given up. Callers send a body at once.
+const BODY_STALL: Duration = Duration::from_secs(10);
+
+/// Frames of a request body beyond which they must have [`MIN_FRAME`] bytes on average: each
+/// takes some microseconds of processor time.
+const FREE_FRAMES: usize = 4_096;
+
+/// Least mean length of the frames of a long body, in bytes.
+const MIN_FRAME: usize = 64;
+
+/// Reads a whole request body, and reserves its memory with its connection for as long as any
+/// of it is held.
+///
+/// The memory is reserved before it is read into: all of a body whose length is stated, and
+/// the limit for another one that turns out to be large. Fails with [`Code::BodyTooLarge`] once
+/// a body is known to be longer than the limit, with [`Code::Overloaded`] when there is no
+/// memory for it, and with [`Code::HeaderTooSlow`] when it makes no progress, or less than all
+/// others while they wait.
+pub async fn read_request_reserved<B>(
+    mut body: B,
+    limits: ReadLimits,
+    connection: &Hold,
+) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    check_length(&body, limits.length)?;
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let stated = body.size_hint().exact().map(|length| length as usize);
+    let most = connection.size().source_large();
+    let reserved = |length: usize| (length * limits.copies).min(most.max(length));
+    let hold = connection.begin(Use::Body);
+    let mut capacity = stated.unwrap_or(SMALL).min(limits.length);
+    hold.raise(reserved(capacity), MEMORY_PATIENCE).await?;
+    let mut bytes = BytesMut::with_capacity(stated.unwrap_or(0));
+    let mut frames = 0;
+    while let Some(frame) = next_frame(&mut body, &hold).await? {
+        frames += 1;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > limits.length {
+            return Err(too_large(limits.length));
+        }
+        if frames > FREE_FRAMES + length / MIN_FRAME {
+            let detail = format!("{frames} chunks for {length} bytes");
+            return Err(Error::new(Code::BodyTooLarge, detail));
+        }
+        if length > capacity {
+            capacity = limits.length.min(most / limits.copies.max(1)).max(length);
+            hold.raise(reserved(capacity), MEMORY_PATIENCE).await?;
+            bytes.reserve(capacity - bytes.len());
+        }
+        hold.record_progress(data.len());
+        bytes.extend_from_slice(&data);
+    }
+    if bytes.is_empty() {
+        return Ok(Bytes::new());
+    }
+    hold.set_use(Use::Running);
+    if bytes.len() < capacity / 2 {
+        // The buffer is far larger than what it holds.
+        bytes = BytesMut::from(&bytes[..]);
+        hold.lower(reserved(bytes.len()));
+    }
+    let bytes = bytes.freeze();
+    Ok(Bytes::from_owner(ReservedBody { bytes, _hold: hold }))
+}
+
+/// Returns the next frame of a request body; fails when none comes in time, or when the body
+/// must make room for others.
+async fn next_frame<B>(body: &mut B, hold: &Hold) -> Result<Option<Frame<Bytes>>>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let slow = |detail: &str| Error::new(Code::HeaderTooSlow, detail);
+    let read = async {
+        let frame = body.frame().await.transpose();
+        frame.map_err(|e| Error::new(Code::RequestMalformed, e.to_string()))
+    };
+    let closed = async {
+        hold.until_closing().await;
+        Err(slow("less progress than others that wait for memory"))
+    };
+    let stalled = async {
+        smol::Timer::after(BODY_STALL).await;
+        Err(slow("nothing more of the body came"))
+    };
+    closed.or(read).or(stalled).await
 }
 
 /// Fails for a body whose stated length exceeds `limit`.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,7 +4,10 @@
 pub mod body;
 pub mod client;
 pub mod events;
+pub mod memory;
 pub mod read_limit;
+pub mod reserve;
 pub mod rpc;
 pub mod rt;
 pub mod server;
+pub mod stream;
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -15,6 +15,7 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use smol_hyper::rt::FuturesIo;
@@ -26,9 +27,12 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::error::Run;
+use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::body::BoxError;
+use crate::net::body::ReadLimits;
 use crate::net::client;
+use crate::net::reserve::Hold;
 use crate::net::rt;
 use crate::proto::agent_client::AgentClient;
 use crate::proto::peer_client::PeerClient;
@@ -36,6 +40,12 @@
 /// Largest message between processes, in bytes.
 pub const MAX_MESSAGE: usize = 4 << 20;
 
+/// Bytes before a message: its length and whether it is compressed.
+const MESSAGE_HEAD: usize = 5;
+
+/// Copies of a message while it is decoded: as it came, in one piece, and its fields.
+const COPIES: usize = 3;
+
 /// Interval of HTTP/2 pings on a connection with open streams.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -200,8 +210,26 @@
 where
     S: Service<Request<Body>, Response = Response<Body>, Error = std::convert::Infallible>,
 {
-    let request = request.map(Body::new);
-    match service.call(request).await {
+    // Messages are read whole before a service gets them, so their memory is reserved here.
+    let (mut parts, incoming) = request.into_parts();
+    let hold = parts.extensions.remove::<Hold>();
+    let body = match hold {
+        Some(hold) => {
+            let limits = ReadLimits {
+                length: MAX_MESSAGE + MESSAGE_HEAD,
+                copies: COPIES,
+            };
+            match body::read_request_reserved(incoming, limits, &hold).await {
+                Ok(bytes) => Body::new(Full::new(bytes)),
+                Err(error) => {
+                    let status: Response<Body> = to_status(&error).into_http();
+                    return status.map(|body| body.map_err(BoxError::from).boxed_unsync());
+                }
+            }
+        }
+        None => Body::new(incoming),
+    };
+    match service.call(Request::from_parts(parts, body)).await {
         Ok(response) => response.map(|body| body.map_err(BoxError::from).boxed_unsync()),
         Err(never) => match never {},
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,14 +3,22 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::server::conn::http1;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -27,21 +35,45 @@
 
 use crate::error::Code;
 use crate::error::Error;
-use crate::error::Result;
+use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::body::BoxError;
 use crate::net::client;
+use crate::net::memory::CONNECTION;
+use crate::net::memory::Class;
+use crate::net::memory::Use;
+use crate::net::reserve::Hold;
+use crate::net::reserve::Memory;
 use crate::net::rt;
+use crate::net::stream::HeldStream;
+use crate::net::stream::Phase;
 
 /// First bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI";
 
+/// Largest head of a request, in bytes.
+const MAX_HEAD: usize = 32 << 10;
+
+/// Windows of an HTTP/2 stream and connection, in bytes: most that is buffered of bodies that
+/// are not read.
+const STREAM_WINDOW: u32 = 128 << 10;
+const CONNECTION_WINDOW: u32 = 256 << 10;
+
+/// Memory of an HTTP/2 stream with its head, in bytes.
+const STREAM: usize = 16 << 10;
+
+/// Time that an HTTP/2 connection waits for its memory.
+const MEMORY_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Limits of a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// Longest time for receiving a whole request head.
     pub head_timeout: Duration,
-    /// Maximum number of open connections; further ones are closed when accepted.
-    pub max_connections: usize,
+    /// Account of the process.
+    pub memory: Memory,
+    /// Kind of the port.
+    pub class: Class,
     /// True when connections may use HTTP/2.
     pub allow_http2: bool,
 }
@@ -50,7 +82,8 @@
     fn default() -> Limits {
         Limits {
             head_timeout: Duration::from_secs(10),
-            max_connections: 4_096,
+            memory: Memory::default(),
+            class: Class::Internal,
             allow_http2: true,
         }
     }
@@ -63,7 +96,7 @@
 const BACKLOG: i32 = 4_096;
 
 /// Opens a listener at `addr`; fails with [`Code::ListenFailed`].
-pub fn bind(addr: SocketAddr) -> Result<Async<TcpListener>> {
+pub fn bind(addr: SocketAddr) -> crate::error::Result<Async<TcpListener>> {
     let open = || {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
@@ -87,7 +120,6 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<BoxBody>> + Send + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
     let (alive, all_ended) = smol::channel::bounded::<()>(1);
     loop {
         let accept = async { Some(listener.accept().await) };
@@ -95,9 +127,9 @@
             let _ = stop.recv().await;
             None
         };
-        let stream = match accept.or(stopped).await {
+        let (stream, peer) = match accept.or(stopped).await {
             None => break,
-            Some(Ok((stream, _))) => stream,
+            Some(Ok(accepted)) => accepted,
             Some(Err(_)) => {
                 // Most likely there are no free descriptors; an immediate retry would
                 // loop without a wait.
@@ -105,15 +137,20 @@
                 continue;
             }
         };
-        if open.load(Ordering::Relaxed) >= limits.max_connections {
+        let memory = &limits.memory;
+        let Some(hold) = memory.connect(limits.class, peer.ip()).await else {
             continue;
-        }
-        let counted = OpenConnection::new(open.clone(), alive.clone());
+        };
+        let (limits, alive) = (limits.clone(), alive.clone());
         let stop = stop.clone();
         let handler = handler.clone();
         rt::spawn(async move {
-            serve_connection(stream, limits, stop, handler).await;
-            drop(counted);
+            let closing = hold.clone();
+            serve_connection(stream, hold, limits, stop, handler)
+                .or(closing.until_closing())
+                .await;
+            // It keeps `serve` from returning.
+            drop(alive);
         })
         .detach();
     }
@@ -122,31 +159,10 @@
     let _ = all_ended.recv().await;
 }
 
-/// Counts a connection as open. Its clone of the sender keeps `serve` from returning.
-struct OpenConnection {
-    open: Arc<AtomicUsize>,
-    _alive: smol::channel::Sender<()>,
-}
-
-impl OpenConnection {
-    fn new(open: Arc<AtomicUsize>, alive: smol::channel::Sender<()>) -> OpenConnection {
-        open.fetch_add(1, Ordering::Relaxed);
-        OpenConnection {
-            open,
-            _alive: alive,
-        }
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves one connection until it ends; shuts it down gracefully once `stop` closes.
 async fn serve_connection<F, R>(
     stream: Async<TcpStream>,
+    hold: Hold,
     limits: Limits,
     stop: Receiver<()>,
     handler: F,
@@ -155,40 +171,89 @@
     R: Future<Output = Response<BoxBody>> + Send + 'static,
 {
     client::set_socket_options(stream.get_ref());
-    let is_h2 = if limits.allow_http2 {
-        match is_http2(&stream, limits.head_timeout).await {
-            Some(is_h2) => is_h2,
-            None => return,
-        }
-    } else {
-        false
-    };
-    let service = service_fn(move |request| {
+    // Nothing is allocated for a connection before it sends.
+    match is_http2(&stream, limits.head_timeout).await {
+        Some(true) if limits.allow_http2 => serve_http2(stream, hold, stop, handler).await,
+        Some(_) => serve_http1(stream, hold, limits, stop, handler).await,
+        None => {}
+    }
+}
+
+/// Serves an HTTP/1.1 connection.
+async fn serve_http1<F, R>(
+    stream: Async<TcpStream>,
+    hold: Hold,
+    limits: Limits,
+    stop: Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<BoxBody>> + Send + 'static,
+{
+    let phase = Phase::new(hold.clone());
+    let io = FuturesIo::new(HeldStream::new(stream, hold.clone(), Some(phase.clone())));
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        phase.begin_request();
+        let running = RunningRequest {
+            phase: Some(phase.clone()),
+            _hold: None,
+        };
+        request.extensions_mut().insert(hold.clone());
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(answer.await.map(|body| running.until_end(body))) }
     });
-    let io = FuturesIo::new(stream);
-    if is_h2 {
-        let conn = http2::Builder::new(rt::Spawner)
-            .timer(SmolTimer::new())
-            .max_concurrent_streams(1_024)
-            .initial_stream_window_size(1 << 20)
-            .initial_connection_window_size(4 << 20)
-            .serve_connection(io, service);
-        let mut conn = std::pin::pin!(conn);
-        let ended = async { Some(conn.as_mut().await) }
-            .or(until_stopped(&stop))
-            .await;
-        if ended.is_none() {
-            conn.as_mut().graceful_shutdown();
-            let _ = conn.await;
-        }
-        return;
-    }
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.head_timeout)
-        .max_buf_size(64 << 10)
+        .max_buf_size(MAX_HEAD)
+        // Otherwise answers are copied into a buffer that the connection keeps.
+        .writev(true)
+        .serve_connection(io, service);
+    let mut conn = std::pin::pin!(conn);
+    let ended = async { Some(conn.as_mut().await) }
+        .or(until_stopped(&stop))
+        .await;
+    if ended.is_none() {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
+
+/// Serves an HTTP/2 connection.
+async fn serve_http2<F, R>(stream: Async<TcpStream>, hold: Hold, stop: Receiver<()>, handler: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<BoxBody>> + Send + 'static,
+{
+    // A connection with streams is not idle, and its windows may fill at any time.
+    hold.set_use(Use::Head);
+    let windows = CONNECTION + CONNECTION_WINDOW as usize;
+    if hold.raise(windows, MEMORY_PATIENCE).await.is_err() {
+        return;
+    }
+    let io = FuturesIo::new(HeldStream::new(stream, hold.clone(), None));
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let own = hold.begin(Use::Running);
+        let answer = own.try_raise(STREAM).then(|| {
+            request.extensions_mut().insert(hold.clone());
+            handler(request)
+        });
+        let running = RunningRequest {
+            phase: None,
+            _hold: Some(own),
+        };
+        async move {
+            let Some(answer) = answer else {
+                return Ok(unavailable());
+            };
+            Ok::<_, Infallible>(answer.await.map(|body| running.until_end(body)))
+        }
+    });
+    let conn = http2::Builder::new(rt::Spawner)
+        .timer(SmolTimer::new())
+        .max_concurrent_streams(1_024)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .serve_connection(io, service);
     let mut conn = std::pin::pin!(conn);
     let ended = async { Some(conn.as_mut().await) }
@@ -200,6 +265,66 @@
     }
 }
 
+/// Returns the answer to a request for which there is no memory; it was not run.
+fn unavailable() -> Response<BoxBody> {
+    let mut response = Response::new(body::full(""));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let after = HeaderValue::from_static("1");
+    response.headers_mut().insert(header::RETRY_AFTER, after);
+    response
+}
+
+/// A request in progress, which ends when this is dropped.
+struct RunningRequest {
+    phase: Option<Phase>,
+    _hold: Option<Hold>,
+}
+
+impl RunningRequest {
+    /// Returns the body of the answer, with which the request ends.
+    fn until_end(self, body: BoxBody) -> BoxBody {
+        AnswerBody {
+            body,
+            _running: self,
+        }
+        .boxed_unsync()
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        if let Some(phase) = &self.phase {
+            phase.end_request();
+        }
+    }
+}
+
+/// Body of an answer to a request in progress.
+struct AnswerBody {
+    body: BoxBody,
+    _running: RunningRequest,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Waits until `stop` closes.
 async fn until_stopped<T>(stop: &Receiver<()>) -> Option<T> {
     let _ = stop.recv().await;
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -56,6 +56,7 @@
     metrics.set(Metric::TableRevision, node.in_force.stamp().revision);
     metrics.set(Metric::TableRefused, u64::from(is_refusing));
     metrics.set(Metric::Uptime, uptime.0);
+    node.memory.set_gauges();
     if let Some(bytes) = dump["weights"]["bytes"].as_u64() {
         metrics.set(Metric::WeightsHeld, bytes);
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,7 +15,10 @@
 use crate::log;
 use crate::log::Component;
 use crate::metric::Metrics;
+use crate::net::memory::Size;
+use crate::net::reserve::Memory;
 use crate::net::rpc::Channels;
+use crate::net::server::Limits;
 use crate::prelude::*;
 use crate::table::sync::SyncMode;
 
@@ -42,6 +45,8 @@
     pub suspects: Suspects,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Account of what callers make the process hold.
+    pub memory: Memory,
 }
 
 impl Node {
@@ -50,6 +55,14 @@
         Node::with_sync_mode(settings, log, SyncMode::Peers)
     }
 
+    /// Returns the limits of a server for other processes or operators.
+    pub fn server_limits(&self) -> Limits {
+        Limits {
+            memory: self.memory.clone(),
+            ..Limits::default()
+        }
+    }
+
     /// Returns the logger of a component, which puts the component's prefix before messages.
     pub fn logger(&self, component: Component) -> Logger {
         log::component(&self.log, component)
@@ -72,7 +85,10 @@
                 receiving.merge_signatures(clock.now(), &notice.signatures);
             },
         );
+        let metrics = Metrics::default();
+        let size = Size::of_machine(settings.memory_mb, settings.max_fds);
         Node {
+            memory: Memory::new(size, metrics.clone(), log.clone()),
             settings: Arc::new(settings),
             clock,
             log,
@@ -80,7 +96,7 @@
             in_force,
             table_sync,
             suspects,
-            metrics: Metrics::default(),
+            metrics,
         }
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -57,6 +57,8 @@
     pub retry_slack: f64,
     /// Length of the window in which repeated sends are counted.
     pub retry_window: Millis,
+    /// Memory of the process, in MB.
+    pub memory_mb: usize,
     /// Maximum number of open file descriptors of the process.
     pub max_fds: usize,
     /// Bandwidth of the VM's network link, in Mbit/s.
@@ -163,6 +165,7 @@
         retry_ratio: fields.or("bounds.retry_ratio", 0.2)?,
         retry_slack: fields.or("bounds.retry_slack", 0.0)?,
         retry_window: Millis((fields.or("bounds.retry_window_s", 10.0)? * 1_000.0) as u64),
+        memory_mb: fields.or("limits.memory_mb", 112)?,
         max_fds: fields.or("limits.max_fds", 1_024)?,
         link_mbps: fields.or("limits.link_mbps", 1_000.0)?,
     })
--- a/tests/body_budget.rs
+++ b/tests/body_budget.rs
@@ -1,9 +1,16 @@
 //! Bodies of answers that are read whole, and the memory that they share.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+
 use bytes::Bytes;
 use chervilquay::error::Code;
+use chervilquay::metric::Metrics;
 use chervilquay::net::body;
-use chervilquay::net::body::MemoryBudget;
+use chervilquay::net::memory::Class;
+use chervilquay::net::memory::Size;
+use chervilquay::net::reserve::Hold;
+use chervilquay::net::reserve::Memory;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use smol::block_on;
@@ -26,6 +33,19 @@
     StreamBody::new(smol::stream::iter(frames))
 }
 
+/// Returns a connection whose process may hold this many bytes of large answers for it.
+fn caller(bytes: usize) -> Hold {
+    let size = Size {
+        bytes: bytes / 9 * 16,
+        callers: 10,
+        internal: 10,
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let memory = Memory::new(size, Metrics::default(), log);
+    let source = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    block_on(memory.connect(Class::Callers, source)).expect("a connection")
+}
+
 fn expected(length: usize) -> Vec<u8> {
     let bytes = (1..=length).map(|n| (n % 256) as u8);
     bytes.collect()
@@ -45,8 +65,8 @@
         vec![3, 5 * block + 17],
         vec![10_000; 60],
     ] {
-        let budget = MemoryBudget::new(8 << 20);
-        let read = body::read_with_budget(frames(&lengths), 4 << 20, &budget);
+        let caller = caller(9 << 20);
+        let read = body::read_reserved(frames(&lengths), 4 << 20, &caller);
         let bytes = block_on(read).expect("a whole body");
         let length = lengths.iter().sum();
         assert_eq!(bytes.len(), length);
@@ -57,27 +77,17 @@
 /// Guards against a budget that does not get back what bodies used, or that bodies exceed.
 #[test]
 fn budget_is_kept_and_given_back() {
-    let budget = MemoryBudget::new(1 << 20);
+    let caller = caller(1 << 20);
     for _ in 0..50 {
-        let long = block_on(body::read_with_budget(frames(&[2 << 20]), 4 << 20, &budget));
+        let long = block_on(body::read_reserved(frames(&[2 << 20]), 4 << 20, &caller));
         assert_eq!(long.expect_err("too long").code, Code::BodyTooLarge);
     }
     // Blocks and the whole body are held at the same time for a moment.
-    let read = || {
-        block_on(body::read_with_budget(
-            frames(&[400 << 10]),
-            4 << 20,
-            &budget,
-        ))
-    };
+    let read = || block_on(body::read_reserved(frames(&[400 << 10]), 4 << 20, &caller));
     let first = read().expect("room for one");
     // What the first keeps leaves no room for another one while it is read.
     assert_eq!(read().expect_err("no room").code, Code::BodyTooLarge);
-    let small = block_on(body::read_with_budget(
-        frames(&[60 << 10]),
-        4 << 20,
-        &budget,
-    ));
+    let small = block_on(body::read_reserved(frames(&[60 << 10]), 4 << 20, &caller));
     assert!(small.is_ok(), "small bodies need no room");
     drop(first);
     assert!(read().is_ok());
--- a/tests/crowd_bodies.rs
+++ b/tests/crowd_bodies.rs
@@ -255,6 +255,13 @@
         self.check_crowd(addr, HEAD_CALLERS, vec![text.into()]);
     }
 
+    /// A crowd of heads within the limit of 16 KB that lack their end.
+    fn check_short_heads(&self, addr: SocketAddr) {
+        let line = format!("X-Long: {}\r\n", "h".repeat(990));
+        let text = format!("{}{}", self.head, line.repeat(15));
+        self.check_crowd(addr, HEAD_CALLERS, vec![text.into()]);
+    }
+
     /// A crowd of connections on which nothing is sent.
     fn check_idle(&self, addr: SocketAddr) {
         self.check_crowd(addr, IDLE_CALLERS, Vec::new());
@@ -358,6 +365,20 @@
     machine.check_heads(machine.callers);
 }
 
+#[test]
+fn prepared_short_heads() {
+    let _turn = turn();
+    let machine = prepared(13, HEAD_MACHINE, MANY_FDS);
+    machine.check_short_heads(machine.callers);
+}
+
+#[test]
+fn own_short_heads() {
+    let _turn = turn();
+    let machine = own("crowd-short-heads", HEAD_MACHINE, MANY_FDS, false);
+    machine.check_short_heads(machine.callers);
+}
+
 #[test]
 fn prepared_heads_internal() {
     let _turn = turn();
