net: Count requests, their answers and the copies of their bodies

The HTTP client copied each body that is sent on into a buffer that its idle connections keep, up to 24 for each upstream; it now writes bodies from where they are (writev). Each request in progress also reserves 48 KB for its head and the buffers of its answer, an agent may send 64 KB of an answer unread instead of 1 MB, and a caller of the own interface that falls behind may be closed for others.

--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -48,7 +48,7 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
-    /// Connection of the caller in the account of the process.
+    /// What it holds of the memory of the process.
     pub memory: Hold,
     /// When it arrived.
     pub arrived: Millis,
@@ -89,8 +89,7 @@
         .ok_or_else(|| Error::new(Code::RouteUnknown, format!("{host}{}", parts.uri.path())))?;
     let call = headers::decode_caller(&parts.headers);
     let organisation = authorize(&routing, &route, &call)?;
-    let memory = parts.extensions.get::<Hold>().cloned();
-    let memory = memory.ok_or_else(|| Error::new(Code::Internal, "connection without account"))?;
+    let memory = Hold::of_request(&parts.extensions).await?;
     let limits = ReadLimits {
         length: routing.limits().max_body,
         copies: 1,
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -11,6 +11,7 @@
 use crate::gate::Signatures;
 use crate::net::body;
 use crate::net::body::BoxBody;
+use crate::net::reserve::Hold;
 use crate::net::rt;
 use crate::once::Fingerprint;
 use crate::prelude::*;
@@ -22,7 +23,7 @@
 use crate::util;
 
 /// Parts of an answer's body that are buffered for a slow caller.
-const BODY_BUFFER: usize = 16;
+const BODY_BUFFER: usize = 8;
 
 /// Bytes at the start of the body by which prompt prefixes are compared.
 const PREFIX_BYTES: usize = 512;
@@ -48,6 +49,8 @@
     pub headers: Vec<proto::Header>,
     /// Whole body.
     pub body: Bytes,
+    /// What it holds of the memory of the process.
+    pub memory: Hold,
     /// Fingerprint by which requests that crash upstreams are recognised.
     pub fingerprint: Fingerprint,
     /// What it has in common with other requests that may crash upstreams.
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -4,7 +4,6 @@
 
 use http::Request;
 use http::Response;
-use http::request::Parts;
 use hyper::body::Incoming;
 
 use crate::agent::serve::is_end_to_end;
@@ -109,7 +108,8 @@
     }
     let organisation = header(request.headers(), ORGANISATION_HEADER).unwrap_or_default();
     let (parts, incoming) = request.into_parts();
-    let bytes = read_body(entry, &parts, incoming).await?;
+    let memory = Hold::of_request(&parts.extensions).await?;
+    let bytes = read_body(entry, &memory, incoming).await?;
     ticketed::issue(entry, &organisation, &bytes).await
 }
 
@@ -119,11 +119,9 @@
 }
 
 /// Reads a request's body whole, within the entry's limits of time and size.
-async fn read_body(entry: &Entry, parts: &Parts, incoming: Incoming) -> Result<Bytes> {
+async fn read_body(entry: &Entry, memory: &Hold, incoming: Incoming) -> Result<Bytes> {
     /// The body itself, the message to the agent, and its encoded form.
     const COPIES: usize = 3;
-    let memory = parts.extensions.get::<Hold>();
-    let memory = memory.ok_or_else(|| Error::new(Code::Internal, "connection without account"))?;
     let limit = Duration::from_millis(entry.settings.head_ms);
     let limits = ReadLimits {
         length: entry.settings.max_body,
@@ -156,7 +154,8 @@
         return Err(Error::new(Code::RouteUnknown, detail));
     };
     let (route_name, route) = (route_name.to_string(), route.clone());
-    let bytes = read_body(entry, &parts, incoming).await?;
+    let memory = Hold::of_request(&parts.extensions).await?;
+    let bytes = read_body(entry, &memory, incoming).await?;
     let path = parts
         .uri
         .path_and_query()
@@ -185,5 +184,6 @@
         path,
         headers,
         body: bytes,
+        memory,
     })
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 use crate::entry::ticketed::Owners;
 use crate::log::Component;
 use crate::net::memory::Class;
+use crate::net::rpc::Channels;
 use crate::net::rt;
 use crate::net::server;
 use crate::net::server::Limits;
@@ -31,6 +32,10 @@
 use crate::proto::peer_server::PeerServer;
 use crate::route::choose::Policy;
 
+/// Most bytes of an answer that an agent may send before the caller has read them. What slow
+/// callers of one agent leave unread shares the window of its connection.
+const ANSWER_WINDOW: u32 = 64 << 10;
+
 /// A running entry; clones share it.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -58,7 +63,10 @@
     ///
     /// Policies other than [`Policy::Expected`] are baselines for benchmarks.
     pub fn with_policy(settings: EntrySettings, log: slog::Logger, policy: Policy) -> Entry {
-        let node = Node::new(settings.node.clone(), log);
+        let node = Node {
+            channels: Channels::with_window(ANSWER_WINDOW),
+            ..Node::new(settings.node.clone(), log)
+        };
         Entry {
             owners: Owners::default(),
             secret: Secret::new(&settings.node.secret),
--- a/src/entry/running.rs
+++ b/src/entry/running.rs
@@ -14,6 +14,7 @@
 use crate::entry::forward::CallerRequest;
 use crate::entry::pools::PoolState;
 use crate::log::Component;
+use crate::net::memory::Use;
 use crate::net::rpc;
 use crate::net::rt;
 use crate::prelude::*;
@@ -182,12 +183,16 @@
             Err(full) => full.into_inner(),
         };
         let wait = self.request.deadline.since(self.entry.node.clock.now());
+        // A caller that reads too slowly may be closed to make room for others.
+        self.request.memory.set_use(Use::Answer);
         let sent = async { sender.send(part).await.is_err() };
         let late = async {
             smol::Timer::after(wait.duration()).await;
             true
         };
-        sent.or(late).await
+        let is_gone = sent.or(late).await;
+        self.request.memory.set_use(Use::Running);
+        is_gone
     }
 
     /// Handles a frame or the loss of an attempt.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -217,6 +217,8 @@
     let io = FuturesIo::new(LimitedStream::new(stream, head_limit.clone()));
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER)
+        // Otherwise a body is copied into a buffer that the connection keeps while it is idle.
+        .writev(true)
         .handshake(io)
         .await
         .map_err(|e| Error::new(Code::EngineUnavailable, format!("{addr}: {e}")))?;
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -22,6 +22,13 @@
 /// connections, in bytes.
 const BUSY_CONNECTION: usize = 32 << 10;
 
+/// Memory of a request in progress, in bytes: its head, and the buffers of its answer on the way
+/// from the upstream to the caller.
+pub const REQUEST: usize = 48 << 10;
+
+/// Memory of a process that serves nobody, in MB.
+const OWN_MB: usize = 8;
+
 /// Descriptors for files, listeners and the store.
 const RESERVED_DESCRIPTORS: usize = 200;
 
@@ -77,10 +84,11 @@
 }
 
 impl Size {
-    /// Returns the size for a machine: half of its memory, and of the descriptors three eighths
-    /// for callers and a quarter for internal ports. The rest is left for upstreams.
+    /// Returns the size for a machine: half of the memory that the process does not need itself,
+    /// as freed memory is not all used again, and of the descriptors three eighths for callers and
+    /// a quarter for internal ports. The rest is left for upstreams.
     pub fn of_machine(memory_mb: usize, max_fds: usize) -> Size {
-        let bytes = (memory_mb << 20) / 2;
+        let bytes = (memory_mb.saturating_sub(OWN_MB) << 20) / 2;
         let fds = max_fds.saturating_sub(RESERVED_DESCRIPTORS);
         let connections = bytes / BUSY_CONNECTION;
         Size {
@@ -260,8 +268,15 @@
         }
     }
 
-    /// Adds a body or an answer of a connection, which holds nothing yet.
+    /// Returns the connection of a body or an answer.
+    fn connection_of(&self, key: Key<Holder>) -> Key<Holder> {
+        self.holders.get(key).and_then(|h| h.parent).unwrap_or(key)
+    }
+
+    /// Adds a body, an answer or a request of the same connection as `parent`, which holds
+    /// nothing yet.
     pub fn begin(&mut self, now: Millis, parent: Key<Holder>, purpose: Use) -> Key<Holder> {
+        let parent = self.connection_of(parent);
         let held = self.holders.get(parent).map(|h| (h.class, h.source));
         let nowhere = IpAddr::from([0, 0, 0, 0]);
         let (class, source) = held.unwrap_or((Class::Internal, nowhere));
--- a/src/net/reserve.rs
+++ b/src/net/reserve.rs
@@ -16,6 +16,7 @@
 use crate::net::memory::Account;
 use crate::net::memory::Class;
 use crate::net::memory::Holder;
+use crate::net::memory::REQUEST;
 use crate::net::memory::Size;
 use crate::net::memory::Use;
 use crate::net::memory::Verdict;
@@ -26,6 +27,13 @@
 /// may be closed once it has made no progress for some time.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// Time that a request waits for the memory of its buffers.
+const REQUEST_PATIENCE: Duration = Duration::from_millis(200);
+
+/// Time after which a caller that found no memory should come back: a holder without progress is
+/// closed after a second.
+const RETURN_TIME: Millis = Millis(1_000);
+
 /// Time between two log lines, which state what was closed or refused since the last.
 const LOG_GAP: Millis = Millis(1_000);
 
@@ -217,6 +225,21 @@
         memory.hold(&mut state, key)
     }
 
+    /// Begins the request whose head has these extensions, as [`Hold::begin_request`] does.
+    pub async fn of_request(extensions: &http::Extensions) -> Result<Hold> {
+        let connection = extensions.get::<Hold>();
+        let missing = || Error::new(Code::Internal, "connection without account");
+        connection.ok_or_else(missing)?.begin_request().await
+    }
+
+    /// Adds a request of this connection, with the memory for its buffers. Fails as
+    /// [`Hold::raise`] does.
+    pub async fn begin_request(&self) -> Result<Hold> {
+        let hold = self.begin(Use::Running);
+        hold.raise(REQUEST, REQUEST_PATIENCE).await?;
+        Ok(hold)
+    }
+
     /// Raises the reservation to `total` bytes; false when there is no room now.
     pub fn try_raise(&self, total: usize) -> bool {
         let memory = &self.inner.memory;
@@ -242,7 +265,7 @@
                 self.inner.memory.record_refusal();
                 let detail = format!("no memory left for {total} bytes");
                 let error = Error::new(Code::Overloaded, detail);
-                return Err(error.with_retry(Millis(patience.as_millis() as u64)));
+                return Err(error.with_retry(RETURN_TIME));
             }
             let wait = async {
                 smol::Timer::after(left.min(RETRY)).await;
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -40,6 +40,9 @@
 /// Largest message between processes, in bytes.
 pub const MAX_MESSAGE: usize = 4 << 20;
 
+/// Window of a stream, in bytes: weights cross links with long round trips.
+const WINDOW: u32 = 1 << 20;
+
 /// Bytes before a message: its length and whether it is compressed.
 const MESSAGE_HEAD: usize = 5;
 
@@ -59,6 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct Channel {
     addr: SocketAddr,
+    window: u32,
     connection: Arc<smol::lock::Mutex<Connection>>,
 }
 
@@ -70,10 +74,12 @@
 }
 
 impl Channel {
-    /// Creates a channel to `addr`; it connects on the first call.
-    pub fn new(addr: SocketAddr) -> Channel {
+    /// Creates a channel to `addr` with this window of a stream, in bytes; it connects on the
+    /// first call.
+    pub fn new(addr: SocketAddr, window: u32) -> Channel {
         Channel {
             addr,
+            window,
             connection: Arc::default(),
         }
     }
@@ -95,7 +101,7 @@
         {
             return Err(error.clone());
         }
-        match connect(self.addr).await {
+        match connect(self.addr, self.window).await {
             Ok(sender) => {
                 connection.sender = Some(sender.clone());
                 Ok(sender)
@@ -108,13 +114,13 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Sender> {
+async fn connect(addr: SocketAddr, window: u32) -> Result<Sender> {
     let io = FuturesIo::new(client::connect_tcp(addr).await?);
     let (sender, conn) = http2::Builder::new(rt::Spawner)
         .timer(SmolTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .initial_stream_window_size(1 << 20)
+        .initial_stream_window_size(window)
         .initial_connection_window_size(4 << 20)
         .handshake(io)
         .await
@@ -173,18 +179,34 @@
 }
 
 /// Channels to other processes, by address. Clones share them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Channels {
     by_addr: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
+    /// Window of a stream, in bytes.
+    window: u32,
+}
+
+impl Default for Channels {
+    fn default() -> Channels {
+        Channels::with_window(WINDOW)
+    }
 }
 
 impl Channels {
+    /// Creates channels on which at most `window` bytes of a stream arrive unread.
+    pub fn with_window(window: u32) -> Channels {
+        Channels {
+            by_addr: Arc::default(),
+            window,
+        }
+    }
+
     /// Returns the channel to `addr`, and creates it on first use.
     pub fn get(&self, addr: SocketAddr) -> Channel {
         let mut channels = self.by_addr.lock().unwrap_or_else(|e| e.into_inner());
         channels
             .entry(addr)
-            .or_insert_with(|| Channel::new(addr))
+            .or_insert_with(|| Channel::new(addr, self.window))
             .clone()
     }
 
--- a/tests/crowd_bodies.rs
+++ b/tests/crowd_bodies.rs
@@ -231,6 +231,15 @@
         self.check_crowd(self.callers, BODY_CALLERS, pieces);
     }
 
+    /// A crowd whose bodies have the largest size and are whole, so that they are sent on.
+    fn check_whole(&self) {
+        let pieces = vec![
+            self.head(&format!("Content-Length: {MAX_BODY}")),
+            Bytes::from(vec![b'b'; MAX_BODY]),
+        ];
+        self.check_crowd(self.callers, BODY_CALLERS, pieces);
+    }
+
     /// A crowd whose bodies of `length` bytes in chunks of `size` lack the last chunk.
     fn check_chunks(&self, length: usize, size: usize) {
         let mut pieces = vec![self.head("Transfer-Encoding: chunked")];
@@ -418,6 +427,18 @@
     prepared(12, HEAD_MACHINE, MANY_FDS).check_unread("/stream/1", Act::Endless(endless));
 }
 
+#[test]
+fn prepared_sent_on() {
+    let _turn = turn();
+    prepared(14, BODY_MACHINE, MANY_FDS).check_whole();
+}
+
+#[test]
+fn own_sent_on() {
+    let _turn = turn();
+    own("crowd-sent-on", BODY_MACHINE, MANY_FDS, false).check_whole();
+}
+
 #[test]
 fn own_whole_bodies() {
     let _turn = turn();
