net: Show that the limits are met by long bodies only

Guards the other side of the account: a body that is announced too long gets 413 before it is sent, a chunked one as soon as it is over the limit, and one just within it is served, on both edges.

--- a/tests/crowd_bodies.rs
+++ b/tests/crowd_bodies.rs
@@ -331,6 +331,39 @@
     }
 }
 
+/// Guards against reading a body that is known to be too long, and against refusing one that
+/// is not.
+fn check_limit(machine: &Machine, start: &str, end: &str) {
+    let announced = machine.head("Content-Length: 10000000000");
+    let mut chunked = machine.head("Transfer-Encoding: chunked").to_vec();
+    let chunk = format!("8000\r\n{}\r\n", "b".repeat(32 << 10));
+    chunked.extend(chunk.repeat(MAX_BODY / (32 << 10) + 4).bytes());
+    for text in [announced.to_vec(), chunked] {
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(status(machine.callers, &text), 413);
+    }
+    // The message to an agent holds 4 MB with the head.
+    let length = MAX_BODY - (64 << 10);
+    let body = format!("{start}{}{end}", "b".repeat(length));
+    let head = machine.head(&format!("Content-Length: {}", body.len()));
+    let text = String::from_utf8_lossy(&head) + body.as_str();
+    assert_eq!(status(machine.callers, &text), 200);
+    machine.check();
+}
+
+#[test]
+fn prepared_limit() {
+    let _turn = turn();
+    check_limit(&prepared(15, BODY_MACHINE, MANY_FDS), "", "");
+}
+
+#[test]
+fn own_limit() {
+    let _turn = turn();
+    let machine = own("crowd-limit", BODY_MACHINE, MANY_FDS, false);
+    check_limit(&machine, r#"{"max_tokens":2,"prompt":""#, r#""}"#);
+}
+
 #[test]
 fn prepared_whole_bodies() {
     let _turn = turn();
--- a/tests/memory_account.rs
+++ b/tests/memory_account.rs
@@ -120,6 +120,10 @@
     );
 }
 
+/// Body of the crowd: its holder, its connection, its length, the bytes received, and true when
+/// it stops short of its end.
+type Member = (Key<Holder>, Key<Holder>, usize, usize, bool);
+
 /// Guards against sums that exceed the bound or drift, and against a crowd under which nobody
 /// gets on: bodies stop anywhere, and what waits must be served in the end.
 #[test]
@@ -129,8 +133,7 @@
         let size = Size::of_machine(random.usize(24..130), random.usize(300..600));
         let mut account = Account::new(size);
         let mut connections: Vec<Key<Holder>> = Vec::new();
-        // Body, connection, length, bytes received, true when it stops short of its end.
-        let mut bodies: Vec<(Key<Holder>, Key<Holder>, usize, usize, bool)> = Vec::new();
+        let mut bodies: Vec<Member> = Vec::new();
         let mut closing: Vec<Key<Holder>> = Vec::new();
         let mut served = 0;
         for step in 0..6_000_u64 {
