--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -37,9 +37,9 @@
 use crate::metric::Metric;
 use crate::net::body;
 use crate::net::body::BoxBody;
-use crate::net::body::MemoryBudget;
 use crate::net::client::Client;
 use crate::net::client::Limits;
+use crate::net::memory::Class;
 use crate::net::rt;
 use crate::net::server;
 use crate::once::Fingerprint;
@@ -87,16 +87,9 @@
 /// Most idle connections that are kept to one upstream.
 const MAX_IDLE: usize = 24;
 
-/// File descriptors that are left for files and listeners.
-const RESERVED_DESCRIPTORS: usize = 200;
-
 /// Time before the expiry of a version from which answers from it are logged.
 const EXPIRY_NOTICE: Millis = Millis(1_000);
 
-/// Memory for all answers that are read whole, in bytes. The processes of a
-/// machine may use 160 MB together.
-const MAX_ANSWER_MEMORY: usize = 32 << 20;
-
 /// State of the entry process.
 pub struct Entry {
     /// Identity, settings, peers and view of the cluster.
@@ -117,8 +110,6 @@
     returns: Mutex<Returns>,
     /// What was learned of the cost of requests.
     pub(super) estimates: Mutex<Estimates>,
-    /// Memory for answers that are read whole.
-    pub(super) answer_memory: Arc<MemoryBudget>,
 }
 
 /// What is known of the caller of a request that is being sent.
@@ -228,7 +219,6 @@
             admission: Mutex::default(),
             returns: Mutex::default(),
             estimates: Mutex::default(),
-            answer_memory: MemoryBudget::new(MAX_ANSWER_MEMORY),
             node,
         });
         // Other entries are added with the first datagrams.
@@ -679,7 +669,7 @@
             let listener = server::bind(addr)?;
             tasks.push(rt::spawn(server::serve(
                 listener,
-                server_limits(),
+                server_limits(&self.node),
                 never.clone(),
                 answer,
             )));
@@ -692,7 +682,7 @@
         let listener = server::bind(ready)?;
         tasks.push(rt::spawn(server::serve(
             listener,
-            server_limits(),
+            server_limits(&self.node),
             never.clone(),
             answer,
         )));
@@ -708,13 +698,8 @@
         let entry = self.clone();
         let answer = move |request: Request<Incoming>| entry.clone().handle(request);
         let limits = server::Limits {
-            max_connections: self
-                .node
-                .settings()
-                .max_fds
-                .saturating_sub(RESERVED_DESCRIPTORS)
-                / 2,
-            ..server_limits()
+            class: Class::Callers,
+            ..server_limits(&self.node)
         };
         let serving = rt::spawn(server::serve(server::bind(addr)?, limits, closed, answer));
         info!(self.node.log().logger(), "process: serving"; "addr" => addr.to_string());
@@ -763,6 +748,7 @@
         let backlog = lock(&self.returns).backlog(now);
         metrics.set(Metric::ReturnBacklog, backlog as u64);
         metrics.set(Metric::Uptime, now.since(Millis(self.node.started())).0);
+        self.node.memory().set_gauges();
         metrics.text()
     }
 
@@ -786,14 +772,15 @@
 }
 
 /// Returns the limits of the HTTP servers on a prepared machine.
-pub fn server_limits() -> server::Limits {
+pub fn server_limits(node: &Node) -> server::Limits {
     /// Time until a whole head must have been read. It also ends idle connections:
     /// callers use a connection again within the operator's idle time.
     const HEAD_OR_IDLE: Duration = Duration::from_secs(20);
     server::Limits {
         head_timeout: HEAD_OR_IDLE,
         allow_http2: false,
-        ..server::Limits::default()
+        memory: node.memory().clone(),
+        class: Class::Internal,
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,8 @@
 use crate::entry::pools::Pools;
 use crate::entry::ticketed::Owners;
 use crate::log::Component;
+use crate::net::memory::Class;
+use crate::net::rpc::Channels;
 use crate::net::rt;
 use crate::net::server;
 use crate::net::server::Limits;
@@ -30,6 +32,10 @@
 use crate::proto::peer_server::PeerServer;
 use crate::route::choose::Policy;
 
+/// Most bytes of an answer that an agent may send before the caller has read them. What slow
+/// callers of one agent leave unread shares the window of its connection.
+const ANSWER_WINDOW: u32 = 64 << 10;
+
 /// A running entry; clones share it.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -57,7 +63,10 @@
     ///
     /// Policies other than [`Policy::Expected`] are baselines for benchmarks.
     pub fn with_policy(settings: EntrySettings, log: slog::Logger, policy: Policy) -> Entry {
-        let node = Node::new(settings.node.clone(), log);
+        let node = Node {
+            channels: Channels::with_window(ANSWER_WINDOW),
+            ..Node::new(settings.node.clone(), log)
+        };
         Entry {
             owners: Owners::default(),
             secret: Secret::new(&settings.node.secret),
@@ -89,7 +98,8 @@
     async fn serve_callers(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         let limits = Limits {
             head_timeout: Duration::from_millis(self.settings.head_ms),
-            ..Limits::default()
+            class: Class::Callers,
+            ..self.node.server_limits()
         };
         server::serve(listener, limits, stop, move |request| {
             let entry = self.clone();
@@ -101,7 +111,7 @@
     /// Exchanges tables and counts with other processes.
     async fn serve_rpc(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         let peer = PeerServer::new(crate::node::peer::PeerService::new(self.node.clone()));
-        server::serve(listener, Limits::default(), stop, move |request| {
+        server::serve(listener, self.node.server_limits(), stop, move |request| {
             let peer = peer.clone();
             async move { crate::net::rpc::answer(peer, request).await }
         })
@@ -112,7 +122,7 @@
     async fn serve_admin(self, listener: smol::Async<std::net::TcpListener>, stop: Receiver<()>) {
         server::serve(
             listener,
-            Limits::default(),
+            self.node.server_limits(),
             stop,
             move |request: Request<Incoming>| {
                 let entry = self.clone();
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -15,6 +15,7 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use smol_hyper::rt::FuturesIo;
@@ -26,9 +27,12 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::error::Run;
+use crate::net::body;
 use crate::net::body::BoxBody;
 use crate::net::body::BoxError;
+use crate::net::body::ReadLimits;
 use crate::net::client;
+use crate::net::reserve::Hold;
 use crate::net::rt;
 use crate::proto::agent_client::AgentClient;
 use crate::proto::peer_client::PeerClient;
@@ -36,6 +40,15 @@
 /// Largest message between processes, in bytes.
 pub const MAX_MESSAGE: usize = 4 << 20;
 
+/// Window of a stream, in bytes: weights cross links with long round trips.
+const WINDOW: u32 = 1 << 20;
+
+/// Bytes before a message: its length and whether it is compressed.
+const MESSAGE_HEAD: usize = 5;
+
+/// Copies of a message while it is decoded: as it came, in one piece, and its fields.
+const COPIES: usize = 3;
+
 /// Interval of HTTP/2 pings on a connection with open streams.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -49,6 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct Channel {
     addr: SocketAddr,
+    window: u32,
     connection: Arc<smol::lock::Mutex<Connection>>,
 }
 
@@ -60,10 +74,12 @@
 }
 
 impl Channel {
-    /// Creates a channel to `addr`; it connects on the first call.
-    pub fn new(addr: SocketAddr) -> Channel {
+    /// Creates a channel to `addr` with this window of a stream, in bytes; it connects on the
+    /// first call.
+    pub fn new(addr: SocketAddr, window: u32) -> Channel {
         Channel {
             addr,
+            window,
             connection: Arc::default(),
         }
     }
@@ -85,7 +101,7 @@
         {
             return Err(error.clone());
         }
-        match connect(self.addr).await {
+        match connect(self.addr, self.window).await {
             Ok(sender) => {
                 connection.sender = Some(sender.clone());
                 Ok(sender)
@@ -98,13 +114,13 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Sender> {
+async fn connect(addr: SocketAddr, window: u32) -> Result<Sender> {
     let io = FuturesIo::new(client::connect_tcp(addr).await?);
     let (sender, conn) = http2::Builder::new(rt::Spawner)
         .timer(SmolTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .initial_stream_window_size(1 << 20)
+        .initial_stream_window_size(window)
         .initial_connection_window_size(4 << 20)
         .handshake(io)
         .await
@@ -163,18 +179,34 @@
 }
 
 /// Channels to other processes, by address. Clones share them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Channels {
     by_addr: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
+    /// Window of a stream, in bytes.
+    window: u32,
+}
+
+impl Default for Channels {
+    fn default() -> Channels {
+        Channels::with_window(WINDOW)
+    }
 }
 
 impl Channels {
+    /// Creates channels on which at most `window` bytes of a stream arrive unread.
+    pub fn with_window(window: u32) -> Channels {
+        Channels {
+            by_addr: Arc::default(),
+            window,
+        }
+    }
+
     /// Returns the channel to `addr`, and creates it on first use.
     pub fn get(&self, addr: SocketAddr) -> Channel {
         let mut channels = self.by_addr.lock().unwrap_or_else(|e| e.into_inner());
         channels
             .entry(addr)
-            .or_insert_with(|| Channel::new(addr))
+            .or_insert_with(|| Channel::new(addr, self.window))
             .clone()
     }
 
@@ -200,8 +232,26 @@
 where
     S: Service<Request<Body>, Response = Response<Body>, Error = std::convert::Infallible>,
 {
-    let request = request.map(Body::new);
-    match service.call(request).await {
+    // Messages are read whole before a service gets them, so their memory is reserved here.
+    let (mut parts, incoming) = request.into_parts();
+    let hold = parts.extensions.remove::<Hold>();
+    let body = match hold {
+        Some(hold) => {
+            let limits = ReadLimits {
+                length: MAX_MESSAGE + MESSAGE_HEAD,
+                copies: COPIES,
+            };
+            match body::read_request_reserved(incoming, limits, &hold).await {
+                Ok(bytes) => Body::new(Full::new(bytes)),
+                Err(error) => {
+                    let status: Response<Body> = to_status(&error).into_http();
+                    return status.map(|body| body.map_err(BoxError::from).boxed_unsync());
+                }
+            }
+        }
+        None => Body::new(incoming),
+    };
+    match service.call(Request::from_parts(parts, body)).await {
         Ok(response) => response.map(|body| body.map_err(BoxError::from).boxed_unsync()),
         Err(never) => match never {},
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -63,6 +63,8 @@
     /// Requests in a second that a cold upstream may get, as a multiple of its limit and
     /// a number beyond that.
     pub cold_bounds: (f64, f64),
+    /// Memory of the process, in MB.
+    pub memory_mb: usize,
     /// Maximum number of open file descriptors of the process.
     pub max_fds: usize,
     /// Bandwidth of the VM's network link, in Mbit/s.
@@ -174,6 +176,7 @@
             fields.or("bounds.cold_overshoot", 1.5)?,
             fields.or("bounds.cold_slack", 5.0)?,
         ),
+        memory_mb: fields.or("limits.memory_mb", 112)?,
         max_fds: fields.or("limits.max_fds", 1_024)?,
         link_mbps: fields.or("limits.link_mbps", 1_000.0)?,
     })
