--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -83,6 +83,10 @@
     if let Some(doc) = &datagram.status {
         let mut placer = entry.placer();
         placer.on_status(&doc.upstream, status(now, doc));
+        if let Some(used) = doc.used {
+            let at = now.since(Millis(u64::from(doc.age)));
+            placer.on_memory(&doc.upstream, f64::from(used), at);
+        }
         let left = doc.cold.map(|left| Millis(u64::from(left)));
         let turned = left.and_then(|left| placer.on_cold_agent(now, &doc.upstream, left));
         drop(placer);
--- a/src/direct/wire.rs
+++ b/src/direct/wire.rs
@@ -373,6 +373,9 @@
     /// Time for which the runner is still cold, in milliseconds; none when it is not.
     #[prost(uint32, optional, tag = "11")]
     pub cold: Option<u32>,
+    /// Tokens in its memory that cannot be evicted; none when it does not say.
+    #[prost(uint32, optional, tag = "12")]
+    pub used: Option<u32>,
 }
 
 /// A model that a runner holds.
