soak: Evacuate the zone of the streams for longer

Cause: evacuations of up to 9 s were seldom longer than their bound while the store was undisturbed, so that the rule hardly applied. Change: the zone of the streams is evacuated for 6 s to 15 s in three of four cases, that of the entries for 6 s to 9 s in one of four.

--- a/src/soak/faults.rs
+++ b/src/soak/faults.rs
@@ -269,9 +269,16 @@
         if left.is_zero() {
             return;
         }
-        let span = match rng.u32(0..2) {
-            0 => rng.u64(50..1_500),
-            _ => rng.u64(6_000..9_000),
+        // The zone of the entries returns sooner, so that not all requests are refused.
+        let (share, longest) = if zone == ZONES[0].0 {
+            (1, 9_000)
+        } else {
+            (3, 15_000)
+        };
+        let span = if rng.u32(0..4) < share {
+            rng.u64(6_000..longest)
+        } else {
+            rng.u64(50..1_500)
         };
         harness.store.put(&key, Some(&value));
         lock(&harness.checker).on_evacuated(harness.now(), zone);
