--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -125,9 +125,13 @@
     let rank = organisation.as_ref().and_then(|o| o.priority);
     let rank = rank.unwrap_or(route.priority);
     let cost_kind = forecasts::kind(&route, organisation.as_deref(), &call);
-    let (kind, mut profile, forecast) = profile(
-        entry, &routing, &route, &call, &cost_kind, rank, time_lost, patience,
-    )?;
+    let traits = Traits {
+        cost_kind: &cost_kind,
+        rank,
+        time_lost,
+        patience,
+    };
+    let (kind, mut profile, forecast) = profile(entry, &routing, &route, &call, &traits)?;
     profile.regions = route.regions_for(organisation.as_deref());
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
@@ -218,19 +222,32 @@
     Ok(known.cloned())
 }
 
+/// What a request is described by, besides its route and headers.
+struct Traits<'a> {
+    /// Groups of alike requests that it belongs to.
+    cost_kind: &'a Kind,
+    /// Priority of its organisation or else its route.
+    rank: u8,
+    /// Time lost at earlier attempts.
+    time_lost: Millis,
+    /// Time that the caller waits, in milliseconds.
+    patience: u64,
+}
+
 /// Counts a request and describes it for the placement, with the forecast of its output.
-/// `time_lost` is lost at earlier attempts, `patience` the time that the caller waits, in
-/// milliseconds.
 fn profile(
     entry: &Entry,
     routing: &Routing,
     route: &Route,
     call: &CallerHeaders,
-    cost_kind: &Kind,
-    rank: u8,
-    time_lost: Millis,
-    patience: u64,
+    traits: &Traits,
 ) -> Result<(KindId, RequestProfile, Forecast)> {
+    let Traits {
+        cost_kind,
+        rank,
+        time_lost,
+        patience,
+    } = *traits;
     let pool = route.pool(&call.id).ok_or_else(|| {
         Error::new(
             Code::NoUpstream,
--- a/tests/place_health.rs
+++ b/tests/place_health.rs
@@ -82,7 +82,6 @@
         value_density: 1.0,
         relative_size: 1.0,
         large_preference: 0.0,
-        rank: 0,
         allowance: Allowance::default(),
         read_ms: 26.0,
     }
--- a/tests/place_region.rs
+++ b/tests/place_region.rs
@@ -182,6 +182,8 @@
         max_connections: 100,
         engine: Some(Arc::new(chervilquay::bench::place::engine())),
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     let routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
     let mut placer = placer();
--- a/tests/place_work.rs
+++ b/tests/place_work.rs
@@ -32,6 +32,8 @@
         max_connections: 100,
         engine: Some(Arc::new(engine)),
         origin: None,
+        cold_span: Millis(0),
+        cold_rate: None,
     };
     let mut routing = Routing::new(1, Vec::new(), vec![pool], Vec::new(), Limits::default());
     if let Some(tokens) = memory {
--- a/tests/support/placing.rs
+++ b/tests/support/placing.rs
@@ -59,7 +59,6 @@
         value_density: 1.0,
         relative_size: 1.0,
         large_preference: 0.0,
-        rank: 0,
         allowance: Allowance::default(),
         read_ms: 0.0,
     }
