route: Keep no shares with slots of other zones

Cause: while a zone is evacuated, its entries use slots of other zones. Change: the share of a kind counts only where an upstream of the own zone is a candidate.

--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -583,8 +583,11 @@
                 return choice;
             }
         }
+        // Slots of other zones that a request leaves free go to the entries there, and not to
+        // the more urgent kinds of this zone.
+        let is_near = |c: &Candidate<Target>| self.targets.get(c.target).is_some_and(|t| !t.remote);
         let refuse = profile.allowance.refuse;
-        let exceeds_share = refuse > 0.0 && self.rng.f64() < refuse;
+        let exceeds_share = refuse > 0.0 && found.iter().any(is_near) && self.rng.f64() < refuse;
         if exceeds_share || !admit::is_timely(profile, best) {
             // A late answer, or one beyond the share of its kind, may only use a slot
             // that would stay empty. Free slots of slow upstreams do not show that the
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -278,3 +278,24 @@
     };
     assert_eq!([5.0, 50.0].map(overloaded), [false, true]);
 }
+
+/// Guards against a zone whose own upstreams are all away and that refuses a kind in vain: the
+/// slots go to entries of other zones, not to its more urgent kinds.
+#[test]
+fn shares_are_not_kept_with_slots_of_other_zones() {
+    for (zone, is_sent) in [("z", false), ("other", true)] {
+        let mut member = placing::member("a", 1);
+        member.zone = zone.to_string();
+        let mut placer = placing::placer(&[member]);
+        let mut profile = placing::profile();
+        for _ in 0..14 {
+            let Choice::Send { target, first_ms } = placer.choose(Millis(1), &profile, &[]) else {
+                panic!("a slot is free in {zone}");
+            };
+            placer.on_sent(Millis(1), target, &profile, first_ms);
+        }
+        profile.allowance.refuse = 1.0;
+        let choice = placer.choose(Millis(1), &profile, &[]);
+        assert_eq!(matches!(choice, Choice::Send { .. }), is_sent, "{zone}");
+    }
+}
