rollout: Keep the division of pieces when agents are unusable for a while

Cause: each agent leaves out sources that failed, for a second. The division followed the usable agents, so that agents disagreed on the sources of most pieces after each failure. Change: the division follows all known agents; only the pieces of one that is not usable go to another.

--- a/src/rollout/pieces.rs
+++ b/src/rollout/pieces.rs
@@ -177,10 +177,10 @@
         self.parent(&key, &|name| !skip.contains(name))
     }
 
-    /// Returns the names of the usable agents of `zone`, the own one included.
-    fn names<'a>(&'a self, zone: &str, is_usable: &dyn Fn(&str) -> bool) -> Vec<&'a str> {
+    /// Returns the names of the agents of `zone`, the own one included.
+    fn names(&self, zone: &str) -> Vec<&str> {
         let others = self.others.iter().filter(|h| h.zone == zone);
-        let others = others.map(|h| h.name.as_str()).filter(|n| is_usable(n));
+        let others = others.map(|h| h.name.as_str());
         let own = (self.zone == zone).then_some(self.name.as_str());
         others.chain(own).collect()
     }
@@ -209,23 +209,25 @@
 }
 
 impl Tree {
-    /// Returns the hash of the usable agents, from which the tree follows.
+    /// Returns the hash of the agents and of which are usable, from which the tree follows.
     fn members(group: &Group, is_usable: &dyn Fn(&str) -> bool) -> u64 {
-        let others = group.others.iter().filter(|h| is_usable(&h.name));
-        let others = others.flat_map(|h| [h.name.as_str(), h.zone.as_str()]);
+        let others = group.others.iter().flat_map(|h| {
+            let state = if is_usable(&h.name) { "" } else { "paused" };
+            [h.name.as_str(), h.zone.as_str(), state]
+        });
         util::stable_hash(others.chain([group.origin_zone.as_str()]))
     }
 
     /// Forms the tree of `count` pieces.
     fn new(key: &str, count: usize, group: &Group, is_usable: &dyn Fn(&str) -> bool) -> Tree {
-        let near = roots::assign(key, count, &group.names(&group.zone, is_usable));
+        let near = roots::choose(key, count, &group.names(&group.zone), is_usable);
         let far = group.parent_zone().map_or_else(Vec::new, |zone| {
-            roots::assign(key, count, &group.names(zone, is_usable))
+            roots::choose(key, count, &group.names(zone), is_usable)
         });
         let parent = |index: usize| match (near.get(index), far.get(index)) {
-            (Some(root), _) if *root != group.name => Source::Agent((*root).to_string()),
-            (_, Some(root)) => Source::Agent((*root).to_string()),
-            (_, None) => Source::Origin,
+            (Some(Some(root)), _) if *root != group.name => Source::Agent((*root).to_string()),
+            (_, Some(Some(root))) => Source::Agent((*root).to_string()),
+            _ => Source::Origin,
         };
         Tree {
             members: Tree::members(group, is_usable),
--- a/src/rollout/roots.rs
+++ b/src/rollout/roots.rs
@@ -38,3 +38,26 @@
     }
     roots
 }
+
+/// Returns for each of `count` pieces the agent that gets it first: the one of [`assign`],
+/// or the usable one that ranks first for the piece when that is not usable.
+///
+/// Each agent finds others unusable at other times. So only the pieces of such an agent move,
+/// and agents agree on the others.
+pub fn choose<'a>(
+    key: &str,
+    count: usize,
+    names: &[&'a str],
+    is_usable: &dyn Fn(&str) -> bool,
+) -> Vec<Option<&'a str>> {
+    let assigned = assign(key, count, names).into_iter().enumerate();
+    let chosen = assigned.map(|(index, name)| {
+        if is_usable(name) {
+            return Some(name);
+        }
+        let key = format!("{key}/{index}");
+        let usable = names.iter().filter(|name| is_usable(name));
+        usable.copied().min_by_key(|name| rank::weight(&key, name))
+    });
+    chosen.collect()
+}
--- a/tests/version_precedence.rs
+++ b/tests/version_precedence.rs
@@ -82,3 +82,19 @@
     assert!(same >= 32, "{same} of 64 sources are the same");
     assert!(roots::assign("m/2", 64, &[]).is_empty());
 }
+
+/// Guards against agents that disagree on the sources of most pieces as each finds others
+/// unusable for a while: only the pieces of such an agent move.
+#[test]
+fn unusable_agent_moves_only_its_pieces() {
+    let names: Vec<String> = (0..9).map(|i| format!("side-{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let all = roots::choose("m/2", 48, &names, &|_| true);
+    let without = roots::choose("m/2", 48, &names, &|name| name != "side-3");
+    for (before, after) in all.iter().zip(&without) {
+        let is_moved = *before == Some("side-3");
+        assert_eq!(before != after, is_moved);
+        assert_ne!(*after, Some("side-3"));
+    }
+    assert_eq!(roots::choose("m/2", 1, &names, &|_| false), [None]);
+}
