route: Share a pool only among kinds that may use the same upstreams

Cause: the shares of kinds were compared over a whole pool. A kind that may use only an evacuated region is refused whatever the others leave, and held back all others of the pool.

--- a/src/direct/inbound.rs
+++ b/src/direct/inbound.rs
@@ -29,7 +29,6 @@
 use crate::table::routing::Organisation;
 use crate::table::routing::Route;
 use crate::table::routing::Routing;
-use crate::util;
 
 /// Time before the objective at which an answer should leave the entry, in
 /// milliseconds.
@@ -128,11 +127,11 @@
     let traits = Traits {
         cost_kind: &cost_kind,
         rank,
+        regions: route.regions_for(organisation.as_deref()),
         time_lost,
         patience,
     };
-    let (kind, mut profile, forecast) = profile(entry, &routing, &route, &call, &traits)?;
-    profile.regions = route.regions_for(organisation.as_deref());
+    let (kind, profile, forecast) = profile(entry, &routing, &route, &call, traits)?;
     let shared = call.shared_parts.iter().map(String::as_str);
     let signatures = Signatures::new(&fingerprint, &profile.pool, shared);
     Ok(InboundRequest {
@@ -228,6 +227,8 @@
     cost_kind: &'a Kind,
     /// Priority of its organisation or else its route.
     rank: u8,
+    /// Regions that may serve it.
+    regions: Regions,
     /// Time lost at earlier attempts.
     time_lost: Millis,
     /// Time that the caller waits, in milliseconds.
@@ -240,14 +241,15 @@
     routing: &Routing,
     route: &Route,
     call: &CallerHeaders,
-    traits: &Traits,
+    traits: Traits,
 ) -> Result<(KindId, RequestProfile, Forecast)> {
     let Traits {
         cost_kind,
         rank,
+        regions,
         time_lost,
         patience,
-    } = *traits;
+    } = traits;
     let pool = route.pool(&call.id).ok_or_else(|| {
         Error::new(
             Code::NoUpstream,
@@ -264,11 +266,7 @@
     let left = route.objective.0 as f64 - time_lost.0 as f64 - OBJECTIVE_MARGIN_MS;
     let read_ms = engine.map_or(0.0, |e| e.read_ms(size.prompt));
     let usual = engine.map_or(1.0, |e| e.usual.weight());
-    let kind = KindId {
-        route: util::stable_hash([pool, route.name.as_str()]),
-        pool: util::stable_hash([pool]),
-        rank,
-    };
+    let kind = KindId::new(pool, &route.name, rank, &regions);
     let standing = entry.count_offered(&Offer {
         kind,
         objective: route.objective.0 as f64,
@@ -279,7 +277,7 @@
     let profile = RequestProfile {
         pool: pool.to_string(),
         model: call.model.clone().filter(|_| engine.is_some()),
-        regions: route.regions.clone(),
+        regions,
         min_version: 0,
         rank,
         size,
--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -10,7 +10,9 @@
 use crate::prelude::*;
 use crate::retry::returns::PoolState;
 use crate::route::admit;
+use crate::route::regions::Regions;
 use crate::route::size_fairness::SizeFairness;
+use crate::util;
 
 /// Half-life of the counts, in milliseconds. Bursts last four seconds or more, and a
 /// zone takes a few hundred requests in this time.
@@ -88,6 +90,22 @@
 }
 }
 
+impl KindId {
+    /// Returns the kind of a route's requests.
+    ///
+    /// Only kinds that may use the same upstreams share them. A kind whose regions are
+    /// evacuated is refused whatever the others leave, so kinds with different regions count
+    /// as kinds of different pools.
+    pub fn new(pool: &str, route: &str, rank: u8, regions: &Regions) -> KindId {
+        let pool = match regions {
+            Regions::Any => util::stable_hash([pool]),
+            Regions::Only(_) => util::stable_hash([pool, regions.to_string().as_str()]),
+        };
+        let route = util::stable_hash([pool.to_string().as_str(), route]);
+        KindId { route, pool, rank }
+    }
+}
+
 /// Requests of one kind, decayed over time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -20,6 +20,7 @@
 use chervilquay::route::placement::Choice;
 use chervilquay::route::profile::RequestProfile;
 use chervilquay::route::recovery::Outcome;
+use chervilquay::route::regions::Regions;
 use chervilquay::time::Millis;
 use fastrand::Rng;
 use support::placing;
@@ -299,3 +300,18 @@
         assert_eq!(matches!(choice, Choice::Send { .. }), is_sent, "{zone}");
     }
 }
+
+/// Guards against a kind whose only region is evacuated, and that is refused for that reason,
+/// from holding back kinds that may use other regions.
+#[test]
+fn kinds_of_other_regions_hold_nothing_back() {
+    let only = |name: &str| Regions::of([name.to_string()]);
+    let other = KindId::new("p", "b", 1, &Regions::Any);
+    for (regions, is_held) in [(Regions::Any, true), (only("north"), false)] {
+        let urgent = KindId::new("p", "a", 0, &regions);
+        let reported = [(urgent, counts(0.0, 400.0)), (other, counts(0.9, 400.0))];
+        assert_eq!(allowance(other, &reported).refuse > 0.0, is_held);
+    }
+    let north = KindId::new("p", "a", 0, &only("north"));
+    assert_eq!(north.pool, KindId::new("p", "b", 1, &only("north")).pool);
+}
