route: Name the retry time of upstreams without memory plainly

Cause: one name in the placement was figurative. Change: the best prediction among upstreams that lack memory is short_memory, its retry time MEMORY_RETRY.

--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -65,7 +65,7 @@
 const LIMIT_TELL_TIME: Millis = Millis(10_000);
 
 /// Time after which a caller is told to retry when no upstream has memory for its request.
-const CRAMPED_RETRY: Millis = Millis(300);
+const MEMORY_RETRY: Millis = Millis(300);
 
 /// Result of a placement.
 #[derive(Clone, Debug, PartialEq)]
@@ -502,7 +502,7 @@
             .unwrap_or(INITIAL_PLAIN_MS);
         let allowed = self.regions.resolve(&profile.regions);
         let is_reserved = self.is_cold_reserved(now, profile);
-        let mut cramped: Option<f64> = None;
+        let mut short_memory: Option<f64> = None;
         let users = self.targets.iter_mut().map(|(_, t)| t);
         for target in users.filter(|t| t.registration.pool == profile.pool) {
             target.refresh(now, work_ms);
@@ -533,7 +533,7 @@
             }
             let first_ms = target.predict_first(now, profile, work_ms, 0.0, 0.0);
             if !target.has_memory(now, profile) {
-                cramped = Some(cramped.map_or(first_ms, |least| least.min(first_ms)));
+                short_memory = Some(short_memory.map_or(first_ms, |least| least.min(first_ms)));
                 continue;
             }
             if !self.begins_before_expiry(now, profile, target, first_ms) {
@@ -567,10 +567,12 @@
                     first_ms: retry_after.0 as f64 + first_ms,
                     retry_after,
                 },
-                (None, None) => cramped.map_or(Choice::NoUpstream, |first_ms| Choice::Overloaded {
-                    first_ms,
-                    retry_after: CRAMPED_RETRY,
-                }),
+                (None, None) => {
+                    short_memory.map_or(Choice::NoUpstream, |first_ms| Choice::Overloaded {
+                        first_ms,
+                        retry_after: MEMORY_RETRY,
+                    })
+                }
             };
         }
         self.add_unseen(now, profile, work_ms, &mut found);
