--- a/src/direct/entry_gossip.rs
+++ b/src/direct/entry_gossip.rs
@@ -75,10 +75,10 @@
         if !counts.is_empty() {
             lock(&entry.admission).on_peer(now, &datagram.name, counts);
         }
+        forecasts::receive(entry, now, datagram);
     } else if datagram.entry && !datagram.zone_kinds.is_empty() {
         let counts = datagram.zone_kinds.iter().map(|k| k.to_counts()).collect();
         lock(&entry.admission).on_zone(now, &datagram.zone, counts);
-        forecasts::receive(entry, now, datagram);
     }
     if let Some(doc) = &datagram.status {
         let mut placer = entry.placer();
