review: Show that a page of a web server is passed on as a booking

A registration of another writer that lacks fields counts as a runner, and an answer on a new connection needs neither the id of its request nor a seal. So bookings go to whatever listens at that address, and their callers get its page as a success.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -6,6 +6,7 @@
 
 mod crowd;
 mod cuts;
+mod foreign;
 mod http;
 mod source;
 mod world;
@@ -36,6 +37,7 @@
     let record = Record::create(Path::new(folder))?;
     record.say(format!("case {name}, trouble {}", u8::from(trouble)));
     let is_broken = match name.as_str() {
+        "foreign-entry" => foreign::play(&record, trouble)?,
         "short-bodies" => crowd::play(&record, trouble)?,
         "slow-reader" => cuts::play_slow_reader(&record, trouble)?,
         "half-event" => cuts::play_half_event(&record, trouble)?,
