review: Show that a runner that stands still begins on old weights

An entry goes on sending requests to a runner whose machine stands still until the held version is about to expire, and what lies unread in its sockets begins on that version when the machine goes on.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,6 +7,7 @@
 mod crowd;
 mod cuts;
 mod foreign;
+mod frozen;
 mod http;
 mod source;
 mod world;
@@ -30,6 +31,12 @@
 
 fn play() -> Run<bool> {
     let arguments: Vec<String> = std::env::args().collect();
+    // The case starts runners by this program.
+    if let [_, name, ip] = &arguments[..]
+        && name == "runner"
+    {
+        return frozen::run(ip);
+    }
     let [_, name, folder] = &arguments[..] else {
         return Err("usage: stand CASE FOLDER".into());
     };
@@ -37,6 +44,7 @@
     let record = Record::create(Path::new(folder))?;
     record.say(format!("case {name}, trouble {}", u8::from(trouble)));
     let is_broken = match name.as_str() {
+        "frozen-runner" => frozen::play(&record, trouble)?,
         "foreign-entry" => foreign::play(&record, trouble)?,
         "short-bodies" => crowd::play(&record, trouble)?,
         "slow-reader" => cuts::play_slow_reader(&record, trouble)?,
