--- a/review/stand-2/crowd.rs
+++ b/review/stand-2/crowd.rs
@@ -145,6 +145,9 @@
         counts.opened.load(Ordering::Relaxed),
         counts.closed.load(Ordering::Relaxed)
     ));
+    if counts.opened.load(Ordering::Relaxed) < CROWD {
+        return Err("the crowd could not connect".into());
+    }
     thread::sleep(Duration::from_secs(1));
     watch(CALM_TIME, &mut entry)?;
     is_over.store(true, Ordering::Relaxed);
